--- /dev/null
+++ b/src/io/connection/caller-server.cpp
@@ -0,0 +1,413 @@
+// Boost.Beast sessions, one coroutine per connection on a strand of the traffic context.
+#include "io/connection/caller-server.h"
+
+#include <waxwinglug/error.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <set>
+
+namespace waxwinglug::io {
+namespace {
+
+    namespace asio = boost::asio;
+    namespace beast = boost::beast;
+    namespace http = beast::http;
+    using asio::ip::tcp;
+    using boost::system::error_code;
+    constexpr auto asTuple = asio::experimental::as_tuple(asio::use_awaitable);
+
+    // How a request that cannot be parsed is answered.
+    struct Rejection {
+        int status = 400;
+        std::string_view problem;
+        std::string_view remedy;
+    };
+
+    Rejection rejectionFor(const error_code& error)
+    {
+        if (error == http::error::header_limit)
+            return { 431, "the request header is too large", "send a smaller header" };
+        if (error == http::error::body_limit)
+            return { 413, "the request body is too large", "send a smaller body" };
+        if (error == beast::error::timeout)
+            return { 408, "the request did not arrive in time", "send the whole request at once" };
+        if (error == http::error::partial_message)
+            return { 400, "the request ended early", "send as many bytes as Content-Length says" };
+        return { 400, "the request is malformed", "send HTTP/1.1 with exactly one valid length" };
+    }
+
+    HttpRequest convert(http::request<http::string_body>&& message)
+    {
+        HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto& field : message)
+            request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        request.body = std::move(message.body());
+        return request;
+    }
+
+} // namespace
+
+class CallerServer::Impl : public std::enable_shared_from_this<CallerServer::Impl> {
+public:
+    class Session;
+
+    Impl(asio::io_context& context, CallerLimits callerLimits, CallerHooks callerHooks)
+        : traffic(context)
+        , acceptor(asio::make_strand(context))
+        , limits(callerLimits)
+        , hooks(std::move(callerHooks))
+    {
+    }
+
+    void listen(const Endpoint& endpoint);
+    asio::awaitable<void> acceptLoop();
+    void stopAccepting();
+
+    asio::io_context& traffic;
+    tcp::acceptor acceptor;
+    const CallerLimits limits;
+    const CallerHooks hooks;
+    // Answers close their connection, so that callers open the next one elsewhere.
+    std::atomic<bool> draining = false;
+    // No further connection is accepted, and idle ones are closed. Implies `draining`.
+    std::atomic<bool> stopping = false;
+    std::atomic<std::size_t> requests = 0;
+    std::uint16_t port = 0;
+    std::mutex sessionsMutex;
+    // Open sessions; each removes itself when it ends.
+    std::set<Session*> sessions;
+};
+
+// One caller connection.
+class CallerServer::Impl::Session : public std::enable_shared_from_this<Session> {
+public:
+    Session(std::shared_ptr<Impl> owner, tcp::socket accepted)
+        : server(std::move(owner))
+        , socket(std::move(accepted))
+        , deadline(socket.get_executor())
+        , answered(socket.get_executor())
+    {
+        const std::lock_guard lock(this->server->sessionsMutex);
+        this->server->sessions.insert(this);
+    }
+
+    ~Session()
+    {
+        const std::lock_guard lock(this->server->sessionsMutex);
+        this->server->sessions.erase(this);
+    }
+
+    asio::awaitable<void> run()
+    {
+        error_code ignored;
+        this->socket.set_option(tcp::no_delay(true), ignored);
+        while (co_await this->serveOne()) { }
+        this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    // Ends the wait for a further request. A request that has begun to arrive is still served.
+    void closeIfIdle()
+    {
+        // The session may be in its destructor, waiting for the mutex that the caller holds.
+        const auto self = this->weak_from_this().lock();
+        if (!self)
+            return;
+        asio::post(this->socket.get_executor(), [self] {
+            if (self->idle)
+                self->cancelOperations();
+        });
+    }
+
+private:
+    // Counts a request as open from its first byte to its answer.
+    class OpenRequest {
+    public:
+        explicit OpenRequest(std::atomic<std::size_t>& counter)
+            : requests(counter)
+        {
+            ++this->requests;
+        }
+        ~OpenRequest() { --this->requests; }
+        OpenRequest(const OpenRequest&) = delete;
+        OpenRequest& operator=(const OpenRequest&) = delete;
+
+    private:
+        std::atomic<std::size_t>& requests;
+    };
+
+    // True: the connection can carry a further request.
+    asio::awaitable<bool> serveOne()
+    {
+        if (!co_await this->waitForFirstByte())
+            co_return false;
+        const OpenRequest open(this->server->requests);
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(this->server->limits.headerBytes);
+        parser.body_limit(boost::none);
+        this->startTimeout(this->server->limits.receiveTimeout);
+        auto [headerError, headerBytes] = co_await http::async_read_header(this->socket, this->buffer, parser, asTuple);
+        if (headerError)
+            co_return co_await this->rejectRequest(headerError);
+        const auto bodyLimit = this->server->hooks.bodyLimit(std::string_view(parser.get().target()));
+        if (parser.content_length().value_or(0) > bodyLimit)
+            co_return co_await this->rejectRequest(http::error::body_limit);
+        parser.body_limit(bodyLimit);
+        if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
+            co_await this->write(http::response<http::empty_body>(http::status::continue_, 11));
+        auto [bodyError, bodyBytes] = co_await http::async_read(this->socket, this->buffer, parser, asTuple);
+        if (bodyError)
+            co_return co_await this->rejectRequest(bodyError);
+        const bool keepAlive = parser.get().keep_alive();
+        const bool head = parser.get().method() == http::verb::head;
+        auto response = co_await this->handle(convert(parser.release()));
+        if (!response)
+            co_return false;
+        co_return co_await this->respond(std::move(*response), keepAlive, head);
+    }
+
+    void startTimeout(Duration after)
+    {
+        this->timedOut = false;
+        this->deadline.expires_after(after);
+        this->deadline.async_wait([weak = this->weak_from_this()](const error_code& error) {
+            const auto self = weak.lock();
+            if (error || !self || self->deadline.expiry() > asio::steady_timer::clock_type::now())
+                return;
+            self->timedOut = true;
+            self->cancelOperations();
+        });
+    }
+
+    void cancelOperations()
+    {
+        error_code ignored; // the socket may already be closed
+        this->socket.cancel(ignored);
+    }
+
+    void stopTimeout() { this->deadline.expires_at(asio::steady_timer::time_point::max()); }
+
+    asio::awaitable<bool> waitForFirstByte()
+    {
+        if (this->buffer.size() > 0)
+            co_return true;
+        if (this->server->stopping)
+            co_return false;
+        this->idle = true;
+        this->startTimeout(this->server->limits.idleTimeout);
+        auto [error, bytes] = co_await this->socket.async_read_some(this->buffer.prepare(4096), asTuple);
+        this->idle = false;
+        this->buffer.commit(bytes);
+        co_return !error;
+    }
+
+    // Passes the request on and waits for the answer. Nothing: the caller has disconnected.
+    asio::awaitable<std::optional<HttpResponse>> handle(HttpRequest request)
+    {
+        using namespace asio::experimental::awaitable_operators;
+        this->stopTimeout();
+        this->answer.reset();
+        this->answered.expires_at(asio::steady_timer::time_point::max());
+        const auto generation = ++this->currentRequest;
+        auto respond = [weak = this->weak_from_this(), generation](HttpResponse response) {
+            if (const auto self = weak.lock())
+                self->setAnswer(generation, std::move(response));
+        };
+        const auto cancel = this->server->hooks.handle(std::move(request), std::move(respond));
+        if (!this->answer)
+            co_await (this->answered.async_wait(asTuple) || this->waitForDisconnect());
+        if (this->answer)
+            co_return std::move(this->answer);
+        ++this->currentRequest;
+        if (cancel)
+            cancel();
+        co_return std::nullopt;
+    }
+
+    // An answer to an earlier request of this connection has another generation and is dropped.
+    void setAnswer(std::uint64_t generation, HttpResponse response)
+    {
+        asio::dispatch(this->socket.get_executor(),
+            [self = this->shared_from_this(), generation, response = std::move(response)]() mutable {
+                if (generation != self->currentRequest || self->answer)
+                    return;
+                self->answer = std::move(response);
+                self->answered.cancel();
+            });
+    }
+
+    // Returns when the caller has closed the connection. Bytes of a pipelined request end the watch, because what
+    // follows them cannot be seen without reading it.
+    asio::awaitable<void> waitForDisconnect()
+    {
+        auto [waitError] = co_await this->socket.async_wait(tcp::socket::wait_read, asTuple);
+        if (!waitError) {
+            char byte = 0;
+            error_code error;
+            this->socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+            if (error)
+                co_return;
+        }
+        asio::steady_timer never(this->socket.get_executor(), asio::steady_timer::time_point::max());
+        co_await never.async_wait(asTuple);
+    }
+
+    asio::awaitable<bool> respond(HttpResponse response, bool keepAlive, bool head)
+    {
+        http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
+        for (const auto& [name, value] : response.headers)
+            message.insert(name, value);
+        message.keep_alive(keepAlive && !this->server->draining);
+        const auto length = response.body.size();
+        if (!head)
+            message.body() = std::move(response.body);
+        message.content_length(length);
+        const bool close = message.need_eof() || !message.keep_alive();
+        this->startTimeout(this->server->limits.receiveTimeout);
+        co_return co_await this->write(std::move(message)) && !close;
+    }
+
+    template <typename Body> asio::awaitable<bool> write(http::response<Body> message)
+    {
+        auto [error, bytes] = co_await http::async_write(this->socket, message, asTuple);
+        co_return !error;
+    }
+
+    // After a rejected request the rest of the stream has no known meaning, so the connection ends.
+    asio::awaitable<bool> rejectRequest(const error_code& error)
+    {
+        if (error == http::error::end_of_stream)
+            co_return false;
+        const auto rejection = rejectionFor(this->timedOut ? beast::error::timeout : error);
+        auto response = this->server->hooks.reject(rejection.status, rejection.problem, rejection.remedy);
+        co_await this->respond(std::move(response), false, false);
+        co_await this->discardInput();
+        co_return false;
+    }
+
+    // Reads on for a short time before closing: a close with unread input resets the connection, and the caller could
+    // lose the answer.
+    asio::awaitable<void> discardInput()
+    {
+        constexpr int maxReads = 64;
+        error_code ignored;
+        this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+        this->startTimeout(std::chrono::seconds(1));
+        this->buffer.clear();
+        for (int reads = 0; reads < maxReads; ++reads) {
+            auto [error, bytes] = co_await this->socket.async_read_some(this->buffer.prepare(65536), asTuple);
+            if (error)
+                co_return;
+        }
+    }
+
+    std::shared_ptr<Impl> server;
+    tcp::socket socket;
+    // Cancels the operations of the socket when it expires. Unlike the timeout of beast::tcp_stream it leaves the
+    // socket open, so that the caller still gets an answer.
+    asio::steady_timer deadline;
+    bool timedOut = false;
+    beast::flat_buffer buffer;
+    // Cancelled when `answer` is set.
+    asio::steady_timer answered;
+    std::optional<HttpResponse> answer;
+    std::uint64_t currentRequest = 0;
+    // No byte of a further request has arrived.
+    bool idle = false;
+};
+
+void CallerServer::Impl::listen(const Endpoint& endpoint)
+{
+    error_code error;
+    const tcp::endpoint address(asio::ip::make_address(endpoint.host, error), endpoint.port);
+    if (!error)
+        this->acceptor.open(address.protocol(), error);
+    if (!error)
+        this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        this->acceptor.bind(address, error);
+    if (!error)
+        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        throw Error(ErrorKind::Unavailable,
+            fmt::format("cannot listen on {}:{}: {}", endpoint.host, endpoint.port, error.message()),
+            "choose an address of this VM and a free port");
+    }
+    this->port = this->acceptor.local_endpoint().port();
+    asio::co_spawn(this->acceptor.get_executor(), this->acceptLoop(), asio::detached);
+}
+
+asio::awaitable<void> CallerServer::Impl::acceptLoop()
+{
+    const auto self = this->shared_from_this();
+    while (!this->stopping) {
+        auto [error, socket] = co_await this->acceptor.async_accept(asio::make_strand(this->traffic), asTuple);
+        if (error && !this->stopping) {
+            // Out of descriptors, for example; trying again at once would spin.
+            asio::steady_timer pause(this->acceptor.get_executor(), std::chrono::milliseconds(50));
+            co_await pause.async_wait(asTuple);
+        }
+        if (error)
+            continue;
+        std::size_t open = 0;
+        {
+            const std::lock_guard lock(this->sessionsMutex);
+            open = this->sessions.size();
+        }
+        if (open >= this->limits.connections)
+            continue;
+        const auto executor = socket.get_executor();
+        const auto session = std::make_shared<Session>(self, std::move(socket));
+        asio::co_spawn(
+            executor, [session]() -> asio::awaitable<void> { co_await session->run(); }, asio::detached);
+    }
+}
+
+void CallerServer::Impl::stopAccepting()
+{
+    this->draining = true;
+    if (this->stopping.exchange(true))
+        return;
+    asio::post(this->acceptor.get_executor(), [self = this->shared_from_this()] {
+        error_code ignored;
+        self->acceptor.close(ignored);
+    });
+    const std::lock_guard lock(this->sessionsMutex);
+    for (auto* session : this->sessions)
+        session->closeIfIdle();
+}
+
+CallerServer::CallerServer(asio::io_context& traffic, const Endpoint& listen, CallerLimits limits, CallerHooks hooks)
+    : impl(std::make_shared<Impl>(traffic, limits, std::move(hooks)))
+{
+    this->impl->listen(listen);
+}
+
+CallerServer::~CallerServer() { this->impl->stopAccepting(); }
+
+std::uint16_t CallerServer::port() const { return this->impl->port; }
+
+void CallerServer::closeAfterAnswers() { this->impl->draining = true; }
+
+void CallerServer::stopAccepting() { this->impl->stopAccepting(); }
+
+std::size_t CallerServer::openRequests() const { return this->impl->requests; }
+
+} // namespace waxwinglug::io
