Parse, check and compare documents; add the key ring

parseConfig reads every section and key of the design page, makes all checks and reports all problems at once with file, line, value and remedy. diffConfig compares documents as sets of (section, key, value); applyChanges turns a stored delta back into the canonical text. A line-based delta was ruled out because it carries comments and order that nodes do not need.

KeyRing keeps only BLAKE2b hashes and compares each of a team's hashes in constant time.

Shared header config.h: defaulted operator== on all structs, canonicalConfig, applyChanges, and a size constant computed in 64 bits (lint).

--- a/include/waxwinglug/config.h
+++ b/include/waxwinglug/config.h
@@ -34,9 +34,11 @@
     Duration deadline { std::chrono::seconds(2) };
     // A backend server that has not answered after this time has failed.
     Duration longestRun { std::chrono::seconds(30) };
-    std::uint64_t bodyLimit = 1024 * 1024; // bytes
+    std::uint64_t bodyLimit = std::uint64_t { 1024 } * 1024; // bytes
     int queueLimit = 1000; // waiting requests per entry VM
     ClaimsWhenDown claimsWhenDown = ClaimsWhenDown::Refuse;
+
+    bool operator==(const Service&) const = default;
 };
 
 // VMs that serve one service and share an availability budget.
@@ -51,6 +53,8 @@
     int minVms = 1;
     // Other pools take VMs from here first.
     bool spare = false;
+
+    bool operator==(const Pool&) const = default;
 };
 
 // A backend server and the VM it runs on.
@@ -64,12 +68,16 @@
     int slots = 8; // requests that run at the same time
     int connections = 64;
     int accelerators = 0;
+
+    bool operator==(const Vm&) const = default;
 };
 
 struct TeamKey {
     std::string id;
     // Hash of the key in lower-case hexadecimal digits.
     std::string hash;
+
+    bool operator==(const TeamKey&) const = default;
 };
 
 struct Team {
@@ -78,6 +86,8 @@
     int limit = 1; // most requests that run at the same time, fleet-wide
     std::vector<std::string> services;
     std::vector<TeamKey> keys;
+
+    bool operator==(const Team&) const = default;
 };
 
 // A daily window in local time. An end before the start lies on the next day.
@@ -85,6 +95,8 @@
     std::string name;
     std::chrono::minutes start { 0 }; // since local midnight
     std::chrono::minutes end { 0 };
+
+    bool operator==(const Window&) const = default;
 };
 
 struct Wave {
@@ -94,17 +106,23 @@
     // Failures of VMs of this wave within `failureWindow` that pause it.
     int pauseAfterFailures = 3;
     Duration failureWindow { std::chrono::minutes(10) };
+
+    bool operator==(const Wave&) const = default;
 };
 
 struct OffsetChange {
     WallTime at;
     std::chrono::minutes offset { 0 }; // local time minus UTC
+
+    bool operator==(const OffsetChange&) const = default;
 };
 
 // The local clock: an offset, and changes of it in ascending order of time.
 struct ClockRules {
     std::chrono::minutes offset { 0 };
     std::vector<OffsetChange> changes;
+
+    bool operator==(const ClockRules&) const = default;
 };
 
 // Weights of the four measures, used by pool sizing and wave planning.
@@ -113,6 +131,8 @@
     double rollOutTime = 1;
     double moves = 1;
     double shareError = 1;
+
+    bool operator==(const Weights&) const = default;
 };
 
 template <typename T> using ByName = std::map<std::string, T, std::less<>>;
@@ -129,6 +149,8 @@
     ByName<Wave> waves;
     ClockRules clock;
     Weights weights;
+
+    bool operator==(const Config&) const = default;
 };
 
 // All that is wrong with a document; the message holds one line per problem.
@@ -145,7 +167,7 @@
 // Parses and checks a document. Throws ConfigError with every problem found.
 Config parseConfig(std::string_view text, std::string_view file);
 
-// One difference between two documents.
+// One difference between two documents. An empty key stands for the section itself.
 struct ConfigChange {
     enum class Kind {
         Added,
@@ -157,9 +179,19 @@
     std::string key;
     std::string before;
     std::string after;
+
+    bool operator==(const ConfigChange&) const = default;
 };
 
-// Lists the differences of two documents in text form, section by section.
+// Lists the differences of two documents in text form, section by section. Comments and order do not count.
 std::vector<ConfigChange> diffConfig(std::string_view before, std::string_view after);
 
+// The document with sections, keys and repeated values sorted and without comments. Two documents with the same
+// meaning have the same canonical text. Throws Error (Invalid) when the text is not INI syntax.
+std::string canonicalConfig(std::string_view text);
+
+// Applies what diffConfig() listed and returns the canonical text of the result. Throws Error (Invalid) when a change
+// does not fit the document.
+std::string applyChanges(std::string_view before, const std::vector<ConfigChange>& changes);
+
 } // namespace waxwinglug
--- /dev/null
+++ b/test/version/keys-test.cpp
@@ -0,0 +1,82 @@
+// Tests of the key ring.
+#include <waxwinglug/keys.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+namespace waxwinglug {
+namespace {
+
+    Config configWith(const std::string& team, const std::vector<TeamKey>& keys)
+    {
+        Config config;
+        config.services["quoting"].name = "quoting";
+        config.services["ledger"].name = "ledger";
+        config.services["misc"] = { .name = "misc", .open = true };
+        config.teams[team] = { team, 10, 5, { "quoting" }, keys };
+        return config;
+    }
+
+    // Guards against a gap while a key is replaced, and against a withdrawn key that still works.
+    TEST(KeyRing, severalKeysOfATeamWorkUntilTheyAreRemoved)
+    {
+        const auto first = generateKey();
+        const auto second = generateKey();
+        const KeyRing both(configWith("north", { { "a", first.hash }, { "b", second.hash } }));
+        EXPECT_TRUE(both.authenticate("north", first.key));
+        EXPECT_TRUE(both.authenticate("north", second.key));
+        const KeyRing one(configWith("north", { { "b", second.hash } }));
+        EXPECT_FALSE(one.authenticate("north", first.key));
+        EXPECT_TRUE(one.authenticate("north", second.key));
+    }
+
+    // Guards against a key of one team that works for another, and a hash that works as a key.
+    TEST(KeyRing, onlyTheTeamsOwnKeyIsAccepted)
+    {
+        const auto key = generateKey();
+        auto config = configWith("north", { { "a", key.hash } });
+        config.teams["south"] = { "south", 10, 5, { "quoting" }, {} };
+        const KeyRing ring(config);
+        EXPECT_FALSE(ring.authenticate("south", key.key));
+        EXPECT_FALSE(ring.authenticate("nobody", key.key));
+        EXPECT_FALSE(ring.authenticate("north", key.hash));
+        EXPECT_FALSE(ring.authenticate("north", ""));
+        EXPECT_FALSE(KeyRing().authenticate("north", key.key));
+    }
+
+    TEST(KeyRing, openQueuesNeedNoKey)
+    {
+        const auto key = generateKey();
+        const KeyRing ring(configWith("north", { { "a", key.hash } }));
+        EXPECT_EQ(ring.check("north", key.key, "quoting"), KeyVerdict::Granted);
+        EXPECT_EQ(ring.check("north", key.key, "ledger"), KeyVerdict::ServiceNotGranted);
+        EXPECT_EQ(ring.check("north", key.key, "tailoring"), KeyVerdict::UnknownService);
+        EXPECT_EQ(ring.check("north", "x", "quoting"), KeyVerdict::WrongKey);
+        EXPECT_EQ(ring.check("nobody", "", "misc"), KeyVerdict::Granted);
+        EXPECT_TRUE(ring.isOpen("misc"));
+        EXPECT_FALSE(ring.isOpen("quoting"));
+        EXPECT_FALSE(ring.isOpen("tailoring"));
+    }
+
+    TEST(KeyRing, generatedKeysDiffer)
+    {
+        std::set<std::string> keys;
+        for (int i = 0; i < 100; ++i)
+            keys.insert(generateKey().key);
+        EXPECT_EQ(keys.size(), 100U);
+    }
+
+    // Guards against a comparison that stops at the first match or ignores part of the hash.
+    RC_GTEST_PROP(KeyRing, anAlteredKeyIsRejected, (std::size_t position, char character))
+    {
+        const auto key = generateKey();
+        auto altered = key.key;
+        altered[position % altered.size()] = character;
+        const KeyRing ring(configWith("north", { { "a", generateKey().hash }, { "b", key.hash } }));
+        RC_ASSERT(ring.authenticate("north", altered) == (altered == key.key));
+    }
+
+} // namespace
+} // namespace waxwinglug
