Add checked settings and structured logs

The daemons need settings that are checked as a whole before anything starts, and a log that a repeated fault cannot flood.

The value of the secret is never repeated in a problem. A shared parser of settings and operators' documents was ruled out: the document has named sections and references, the settings have neither.

Log lines are limited to 10 a second per event kind; the number of dropped lines is written with the next line or by reportDropped().

--- /dev/null
+++ b/include/waxwinglug/settings.h
@@ -0,0 +1,90 @@
+// Checked settings of the daemons, read from one INI file per program.
+#pragma once
+
+#include <waxwinglug/base.h>
+#include <waxwinglug/error.h>
+#include <waxwinglug/ini.h>
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwinglug {
+
+// What an entry VM does while it hears from neither the platform nor its peers.
+enum class Isolation {
+    Serve, // go on with the configuration in force
+    Stop, // refuse keyed work
+};
+
+struct EntrySettings {
+    std::string name;
+    std::string dataCentre;
+    Endpoint callers;
+    Endpoint peers;
+    Endpoint operators;
+    Endpoint platform;
+    std::vector<Endpoint> seeds;
+    // Shared by all entry VMs; key of the hash over peer messages.
+    std::string secret;
+    std::uint64_t headerLimit = 0; // bytes
+    std::uint64_t bodyLimit = 0; // bytes
+    int connectionLimit = 0;
+    // How long a shutdown waits for requests in flight.
+    Duration shutdownGrace { 0 };
+    Isolation isolation = Isolation::Serve;
+};
+
+struct MaintainSettings {
+    std::string name;
+    std::string dataCentre;
+    Endpoint operators;
+    Endpoint platform;
+    // How long the lease row is valid without renewal.
+    Duration leaseDuration { 0 };
+    // Time between two steps of planning and draining.
+    Duration stepInterval { 0 };
+    // How long a drain waits for entry VMs that have not confirmed the journal.
+    Duration confirmTimeout { 0 };
+    // Least time between two moves of the same VM between pools.
+    Duration moveInterval { 0 };
+};
+
+// One line of the table that `--help` prints.
+struct SettingInfo {
+    std::string_view section;
+    std::string_view key;
+    // Empty: the setting is required.
+    std::string_view defaultValue;
+    // Form and range in words, for example "duration, 1s to 1h".
+    std::string_view form;
+    std::string_view text;
+    // The value is not repeated in messages.
+    bool secret = false;
+};
+
+// All that is wrong with a settings file; the message holds one line per problem. Kind: Invalid.
+class SettingsError : public Error {
+public:
+    explicit SettingsError(std::vector<Problem> found);
+
+    const std::vector<Problem>& problems() const { return this->found; }
+
+private:
+    std::vector<Problem> found;
+};
+
+// Both throw SettingsError with every problem found.
+EntrySettings parseEntrySettings(std::string_view text, std::string_view file);
+MaintainSettings parseMaintainSettings(std::string_view text, std::string_view file);
+
+// The settings of each program, in the order of the help text.
+std::vector<SettingInfo> entrySettingTable();
+std::vector<SettingInfo> maintainSettingTable();
+
+// The table as text, one setting per line, grouped by section.
+std::string describeSettings(std::span<const SettingInfo> table);
+
+} // namespace waxwinglug
--- /dev/null
+++ b/src/io/process/log.cpp
@@ -0,0 +1,186 @@
+// Log lines over Boost.Log.
+#include "io/process/log.h"
+
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+
+#include <fmt/chrono.h>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <ostream>
+#include <vector>
+
+namespace waxwinglug {
+namespace {
+
+    using Sink = boost::log::sinks::synchronous_sink<boost::log::sinks::text_ostream_backend>;
+
+    std::string_view levelName(LogLevel level)
+    {
+        switch (level) {
+        case LogLevel::Info:
+            return "info";
+        case LogLevel::Warning:
+            return "warning";
+        case LogLevel::Error:
+            return "error";
+        }
+        return "";
+    }
+
+    // Text from outside must not start a new line or break the key=value form.
+    std::string quoted(std::string_view value)
+    {
+        const auto isPlain = [](char c) { return c > ' ' && c != '"' && c != '=' && c != '\\' && c != '\x7f'; };
+        if (!value.empty() && std::ranges::all_of(value, isPlain))
+            return std::string(value);
+        std::string text = "\"";
+        for (const char c : value) {
+            if (c == '"' || c == '\\')
+                text.append(1, '\\').append(1, c);
+            else if ((c >= 0 && c < ' ') || c == '\x7f')
+                text += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+            else
+                text += c;
+        }
+        return text + '"';
+    }
+
+    std::string lineStart(WallTime time, LogLevel level, std::string_view prefix)
+    {
+        // fmt 9 leaves out fractions of a second.
+        const auto milliseconds = time.time_since_epoch().count() % 1000;
+        return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}: ", std::chrono::floor<std::chrono::seconds>(time),
+            milliseconds, levelName(level), prefix);
+    }
+
+    void emit(LogLevel level, const std::string& line)
+    {
+        boost::log::sources::severity_logger<LogLevel> logger(level);
+        BOOST_LOG_SEV(logger, level) << line;
+    }
+
+    boost::shared_ptr<Sink>& currentSink()
+    {
+        static boost::shared_ptr<Sink> sink;
+        return sink;
+    }
+
+} // namespace
+
+void startLogging(std::ostream& output, LogLevel least)
+{
+    stopLogging();
+    auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&output, boost::null_deleter()));
+    // A process that is killed loses no line that it has written.
+    backend->auto_flush(true);
+    auto sink = boost::make_shared<Sink>(backend);
+    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    sink->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >= least);
+    boost::log::core::get()->add_sink(sink);
+    currentSink() = sink;
+}
+
+void stopLogging()
+{
+    auto& sink = currentSink();
+    if (!sink)
+        return;
+    boost::log::core::get()->remove_sink(sink);
+    sink->flush();
+    sink.reset();
+}
+
+Log::Log(std::string_view component, Clock source)
+    : prefix(component)
+    , clock(std::move(source))
+{
+}
+
+void Log::info(std::string_view event, std::initializer_list<LogField> fields)
+{
+    this->write(LogLevel::Info, event, fields);
+}
+
+void Log::warning(std::string_view event, std::initializer_list<LogField> fields)
+{
+    this->write(LogLevel::Warning, event, fields);
+}
+
+void Log::error(std::string_view event, std::initializer_list<LogField> fields)
+{
+    this->write(LogLevel::Error, event, fields);
+}
+
+void Log::write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    std::uint64_t droppedBefore = 0;
+    {
+        const std::lock_guard lock(this->mutex);
+        auto kind = this->kinds.find(event);
+        if (kind == this->kinds.end()) {
+            const bool full = this->kinds.size() >= mostEventKinds;
+            kind = this->kinds.try_emplace(full ? std::string("other events") : std::string(event)).first;
+        }
+        auto& state = kind->second;
+        state.level = std::max(state.level, level);
+        const auto now = this->clock.now();
+        if (now - state.windowStart >= std::chrono::seconds(1)) {
+            state.windowStart = now;
+            state.written = 0;
+            droppedBefore = std::exchange(state.dropped, 0);
+        }
+        if (state.written >= linesPerSecond) {
+            ++state.dropped;
+            ++this->droppedTotal;
+            return;
+        }
+        ++state.written;
+    }
+    auto line = lineStart(this->clock.wallNow(), level, this->prefix) + std::string(event);
+    for (const auto& field : fields)
+        line += fmt::format(" {}={}", field.key, quoted(field.value));
+    if (droppedBefore > 0)
+        line += fmt::format(" dropped={}", droppedBefore);
+    emit(level, line);
+}
+
+void Log::reportDropped()
+{
+    struct Report {
+        std::string event;
+        LogLevel level;
+        std::uint64_t count;
+    };
+    std::vector<Report> reports;
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto now = this->clock.now();
+        for (auto& [event, kind] : this->kinds) {
+            if (kind.dropped > 0 && now - kind.windowStart >= std::chrono::seconds(1))
+                reports.push_back({ event, kind.level, std::exchange(kind.dropped, 0) });
+        }
+    }
+    for (const auto& report : reports) {
+        emit(report.level,
+            fmt::format("{}{} dropped={}", lineStart(this->clock.wallNow(), report.level, this->prefix), report.event,
+                report.count));
+    }
+}
+
+std::uint64_t Log::dropped() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->droppedTotal;
+}
+
+} // namespace waxwinglug
--- /dev/null
+++ b/src/process/settings.cpp
@@ -0,0 +1,341 @@
+// Settings of the daemons: one table per program holds name, default, form, help text and parser of each setting.
+#include <waxwinglug/settings.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace waxwinglug {
+namespace {
+
+    using std::chrono::hours;
+    using std::chrono::milliseconds;
+    using std::chrono::minutes;
+    using std::chrono::seconds;
+
+    // Shorter secrets can be found by trial from one recorded message.
+    constexpr std::size_t leastSecretLength = 32;
+    // Names are part of row keys and log lines.
+    constexpr std::size_t mostNameLength = 63;
+
+    template <typename T> struct Setting {
+        SettingInfo info;
+        // Stores the value; false when its form or range is wrong.
+        std::function<bool(T&, std::string_view value)> store;
+    };
+
+    template <typename V> bool assign(V& target, std::optional<V> value)
+    {
+        if (!value)
+            return false;
+        target = std::move(*value);
+        return true;
+    }
+
+    bool isNameCharacter(char c)
+    {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
+    }
+
+    template <typename T> auto nameInto(std::string T::*member)
+    {
+        return [member](T& settings, std::string_view value) {
+            if (value.empty() || value.size() > mostNameLength || !std::ranges::all_of(value, isNameCharacter))
+                return false;
+            settings.*member = value;
+            return true;
+        };
+    }
+
+    template <typename T> auto endpointInto(Endpoint T::*member)
+    {
+        return [member](T& settings, std::string_view value) { return assign(settings.*member, parseEndpoint(value)); };
+    }
+
+    template <typename T> auto durationInto(Duration T::*member, Duration least, Duration most)
+    {
+        return [member, least, most](T& settings, std::string_view value) {
+            const auto duration = parseDuration(value);
+            return duration && *duration >= least && *duration <= most && assign(settings.*member, duration);
+        };
+    }
+
+    template <typename T> auto sizeInto(std::uint64_t T::*member, std::uint64_t least, std::uint64_t most)
+    {
+        return [member, least, most](T& settings, std::string_view value) {
+            const auto size = parseSize(value);
+            return size && *size >= least && *size <= most && assign(settings.*member, size);
+        };
+    }
+
+    bool storeSeeds(EntrySettings& settings, std::string_view value)
+    {
+        std::vector<Endpoint> seeds;
+        for (const auto& item : parseList(value)) {
+            const auto endpoint = parseEndpoint(item);
+            if (!endpoint)
+                return false;
+            seeds.push_back(*endpoint);
+        }
+        settings.seeds = std::move(seeds);
+        return true;
+    }
+
+    bool storeSecret(EntrySettings& settings, std::string_view value)
+    {
+        settings.secret = value;
+        return value.size() >= leastSecretLength;
+    }
+
+    bool storeConnections(EntrySettings& settings, std::string_view value)
+    {
+        const auto number = parseInteger(value, 1, 1'000'000);
+        if (number)
+            settings.connectionLimit = static_cast<int>(*number);
+        return number.has_value();
+    }
+
+    bool storeIsolation(EntrySettings& settings, std::string_view value)
+    {
+        if (value != "serve" && value != "stop")
+            return false;
+        settings.isolation = value == "stop" ? Isolation::Stop : Isolation::Serve;
+        return true;
+    }
+
+    constexpr std::string_view nameForm = "name of letters, digits, '-' and '_', at most 63";
+    constexpr std::string_view endpointForm = "IP address and port, for example 127.0.0.1:7000";
+
+    const std::vector<Setting<EntrySettings>>& entrySettings()
+    {
+        using S = EntrySettings;
+        static const std::vector<Setting<S>> table {
+            { { "node", "name", "", nameForm, "name of this entry VM, unique in the fleet" }, nameInto(&S::name) },
+            { { "node", "data-centre", "", nameForm, "data centre of this entry VM" }, nameInto(&S::dataCentre) },
+            { { "listen", "callers", "", endpointForm, "address for requests of callers" }, endpointInto(&S::callers) },
+            { { "listen", "peers", "", endpointForm, "address for messages of other entry VMs" },
+                endpointInto(&S::peers) },
+            { { "listen", "operators", "127.0.0.1:7080", endpointForm, "address for health, metrics and status" },
+                endpointInto(&S::operators) },
+            { { "platform", "address", "", endpointForm, "address of the platform's services" },
+                endpointInto(&S::platform) },
+            { { "peers", "seeds", "", "comma-separated addresses like 127.0.0.1:7001; empty for a single node",
+                  "entry VMs to join through" },
+                storeSeeds },
+            { { "peers", "secret", "", "at least 32 characters", "shared secret of all entry VMs", true },
+                storeSecret },
+            { { "limits", "header", "16KiB", "size, 1KiB to 1MiB", "largest request header" },
+                sizeInto(&S::headerLimit, 1ULL << 10, 1ULL << 20) },
+            { { "limits", "body", "16MiB", "size, 1KiB to 1GiB", "largest request body of any service" },
+                sizeInto(&S::bodyLimit, 1ULL << 10, 1ULL << 30) },
+            { { "limits", "connections", "10000", "whole number, 1 to 1000000", "most open connections of callers" },
+                storeConnections },
+            { { "shutdown", "grace", "30s", "duration, 1s to 1h", "longest wait for requests in flight at shutdown" },
+                durationInto(&S::shutdownGrace, seconds(1), hours(1)) },
+            { { "config", "isolation", "serve", "serve or stop",
+                  "keyed work while neither platform nor peers are heard" },
+                storeIsolation },
+        };
+        return table;
+    }
+
+    const std::vector<Setting<MaintainSettings>>& maintainSettings()
+    {
+        using S = MaintainSettings;
+        static const std::vector<Setting<S>> table {
+            { { "node", "name", "", nameForm, "name of this VM, unique in the fleet" }, nameInto(&S::name) },
+            { { "node", "data-centre", "", nameForm, "data centre of this VM" }, nameInto(&S::dataCentre) },
+            { { "listen", "operators", "127.0.0.1:7081", endpointForm, "address for health, metrics and status" },
+                endpointInto(&S::operators) },
+            { { "platform", "address", "", endpointForm, "address of the platform's services" },
+                endpointInto(&S::platform) },
+            { { "lease", "duration", "15s", "duration, 3s to 5m", "validity of the lease without renewal" },
+                durationInto(&S::leaseDuration, seconds(3), minutes(5)) },
+            { { "maintain", "step", "1s", "duration, 100ms to 1m, at most a third of the lease",
+                  "time between two steps" },
+                durationInto(&S::stepInterval, milliseconds(100), minutes(1)) },
+            { { "maintain", "confirm-timeout", "5s", "duration, 1s to 1m", "wait for entry VMs to confirm a drain" },
+                durationInto(&S::confirmTimeout, seconds(1), minutes(1)) },
+            { { "maintain", "move-interval", "10m", "duration, 1m to 1d",
+                  "least time between two moves of the same VM" },
+                durationInto(&S::moveInterval, minutes(1), hours(24)) },
+        };
+        return table;
+    }
+
+    // Reads one file against a table and collects every problem.
+    template <typename T> class Reader {
+    public:
+        Reader(const std::vector<Setting<T>>& settings, std::string_view fileName)
+            : table(settings)
+            , file(fileName)
+        {
+            for (const auto& setting : this->table) {
+                if (!setting.info.defaultValue.empty())
+                    setting.store(this->result, setting.info.defaultValue);
+            }
+        }
+
+        void read(std::string_view text)
+        {
+            for (const auto& entry : readIni(text, this->file, this->problems)) {
+                if (entry.key.empty())
+                    this->addSection(entry);
+                else
+                    this->addKey(entry);
+            }
+            for (const auto& setting : this->table) {
+                const auto name = fmt::format("[{}] {}", setting.info.section, setting.info.key);
+                if (setting.info.defaultValue.empty() && !this->lines.contains(name))
+                    this->report(0, "", name + " is missing", fmt::format("write {}", setting.info.form));
+            }
+        }
+
+        void report(int line, std::string_view value, std::string text, std::string remedy)
+        {
+            this->problems.push_back(
+                { std::string(this->file), line, std::string(value), std::move(text), std::move(remedy) });
+        }
+
+        // Returns 0 for a setting that the file does not name.
+        int lineOf(const std::string& name) const
+        {
+            const auto line = this->lines.find(name);
+            return line == this->lines.end() ? 0 : line->second;
+        }
+
+        T take()
+        {
+            if (!this->problems.empty())
+                throw SettingsError(std::move(this->problems));
+            return std::move(this->result);
+        }
+
+        T result;
+
+    private:
+        bool isSection(std::string_view name) const
+        {
+            return std::ranges::any_of(this->table, [name](const auto& each) { return each.info.section == name; });
+        }
+
+        void addSection(const IniEntry& entry)
+        {
+            if (!this->isSection(entry.section)) {
+                this->report(entry.line, entry.section, "unknown section", "use a section that --help lists");
+            } else if (!this->sections.insert(entry.section).second) {
+                this->report(entry.line, entry.section, "section appears twice", "put its settings into one section");
+            }
+        }
+
+        void addKey(const IniEntry& entry)
+        {
+            const auto setting = std::ranges::find_if(this->table, [&entry](const auto& each) {
+                return each.info.section == entry.section && each.info.key == entry.key;
+            });
+            if (setting == this->table.end()) {
+                // The keys of an unknown section are covered by the report about the section.
+                if (entry.section.empty() || this->isSection(entry.section))
+                    this->report(entry.line, entry.key, fmt::format("unknown setting in [{}]", entry.section),
+                        "use a setting that --help lists for this section");
+                return;
+            }
+            const auto name = fmt::format("[{}] {}", entry.section, entry.key);
+            const std::string_view shown = setting->info.secret ? std::string_view("not shown") : entry.value;
+            if (const auto [first, added] = this->lines.emplace(name, entry.line); !added) {
+                this->report(entry.line, shown, fmt::format("{} was already set in line {}", name, first->second),
+                    "remove one of the two lines");
+            } else if (!setting->store(this->result, entry.value)) {
+                this->report(entry.line, shown, name + " has a wrong form or is out of range",
+                    fmt::format("write {}", setting->info.form));
+            }
+        }
+
+        const std::vector<Setting<T>>& table;
+        std::string_view file;
+        std::vector<Problem> problems;
+        std::set<std::string> sections;
+        // Line of each setting that the file names.
+        std::map<std::string, int> lines;
+    };
+
+    std::string joinProblems(const std::vector<Problem>& problems)
+    {
+        std::string text = fmt::format("{} problems in the settings", problems.size());
+        for (const auto& problem : problems)
+            text.append("\n").append(problem.message());
+        return text;
+    }
+
+    template <typename T> std::vector<SettingInfo> infos(const std::vector<Setting<T>>& table)
+    {
+        std::vector<SettingInfo> list;
+        list.reserve(table.size());
+        for (const auto& setting : table)
+            list.push_back(setting.info);
+        return list;
+    }
+
+} // namespace
+
+SettingsError::SettingsError(std::vector<Problem> all)
+    : Error(ErrorKind::Invalid, joinProblems(all), "correct the file and check it with --check")
+    , found(std::move(all))
+{
+}
+
+EntrySettings parseEntrySettings(std::string_view text, std::string_view file)
+{
+    Reader<EntrySettings> reader(entrySettings(), file);
+    reader.read(text);
+    const auto& settings = reader.result;
+    // Of two listeners on one address, the second could not start.
+    const std::pair<std::string, Endpoint> listeners[] = { { "[listen] callers", settings.callers },
+        { "[listen] operators", settings.operators }, { "[listen] peers", settings.peers } };
+    for (const auto& [first, address] : listeners) {
+        for (const auto& [second, other] : listeners) {
+            if (first < second && address.port != 0 && address == other) {
+                reader.report(reader.lineOf(second), fmt::format("{}:{}", other.host, other.port),
+                    fmt::format("{} and {} have the same address", first, second), "use different ports");
+            }
+        }
+    }
+    return reader.take();
+}
+
+MaintainSettings parseMaintainSettings(std::string_view text, std::string_view file)
+{
+    Reader<MaintainSettings> reader(maintainSettings(), file);
+    reader.read(text);
+    // The holder renews once a step; two lost renewals must not end the lease.
+    if (reader.result.stepInterval * 3 > reader.result.leaseDuration) {
+        reader.report(reader.lineOf("[maintain] step"), fmt::format("{}ms", reader.result.stepInterval.count()),
+            "[maintain] step is longer than a third of [lease] duration", "shorten the step or lengthen the lease");
+    }
+    return reader.take();
+}
+
+std::vector<SettingInfo> entrySettingTable() { return infos(entrySettings()); }
+
+std::vector<SettingInfo> maintainSettingTable() { return infos(maintainSettings()); }
+
+std::string describeSettings(std::span<const SettingInfo> table)
+{
+    std::string text;
+    std::string_view section;
+    for (const auto& info : table) {
+        if (info.section != section)
+            text += fmt::format("[{}]\n", info.section);
+        section = info.section;
+        const auto defaultText = info.defaultValue.empty() ? "required" : fmt::format("default {}", info.defaultValue);
+        text += fmt::format("  {:<16} {} ({}; {})\n", info.key, info.text, info.form, defaultText);
+    }
+    return text;
+}
+
+} // namespace waxwinglug
--- /dev/null
+++ b/test/io/log-test.cpp
@@ -0,0 +1,66 @@
+// Tests of log lines and their rate limit.
+#include "io/process/log.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace waxwinglug {
+namespace {
+
+    class LogTest : public testing::Test {
+    protected:
+        LogTest() { startLogging(this->output); }
+        ~LogTest() override { stopLogging(); }
+
+        auto lines() const { return std::ranges::count(this->output.str(), '\n'); }
+
+        std::ostringstream output;
+        ManualClock time;
+    };
+
+    TEST_F(LogTest, lineHasPrefixAndPairs)
+    {
+        Log log("member", this->time.clock());
+        log.warning("peer is suspect", { { "peer", "e2" }, { "silent-ms", 3000 } });
+        EXPECT_EQ(
+            this->output.str(), "2026-01-01T00:00:00.000Z warning member: peer is suspect peer=e2 silent-ms=3000\n");
+    }
+
+    // Guards against a caller's text that forges a second log line.
+    TEST_F(LogTest, valuesCannotStartANewLine)
+    {
+        Log log("entry", this->time.clock());
+        log.info("request refused", { { "path", "/a b\nentry: ok" } });
+        EXPECT_EQ(this->lines(), 1);
+        EXPECT_NE(this->output.str().find("path=\"/a b\\x0aentry: ok\""), std::string::npos);
+    }
+
+    // Guards against a repeated fault that fills the disk, and against silent loss of lines.
+    TEST_F(LogTest, repeatedEventIsLimitedAndCounted)
+    {
+        Log log("entry", this->time.clock());
+        for (int i = 0; i < 50; ++i)
+            log.error("platform does not answer", { { "call", i } });
+        EXPECT_EQ(this->lines(), Log::linesPerSecond);
+        log.info("another event");
+        EXPECT_EQ(this->lines(), Log::linesPerSecond + 1);
+        EXPECT_EQ(log.dropped(), 40U);
+        this->time.advance(std::chrono::seconds(2));
+        log.reportDropped();
+        EXPECT_NE(this->output.str().find("error entry: platform does not answer dropped=40"), std::string::npos);
+        log.error("platform does not answer");
+        EXPECT_EQ(this->lines(), Log::linesPerSecond + 3);
+    }
+
+    TEST_F(LogTest, numberOfKindsIsBounded)
+    {
+        Log log("entry", this->time.clock());
+        for (int i = 0; i < 10000; ++i)
+            log.info("event " + std::to_string(i));
+        EXPECT_LE(this->lines(), static_cast<long>(Log::mostEventKinds) + Log::linesPerSecond);
+    }
+
+} // namespace
+} // namespace waxwinglug
