Add the scheduler: admission, fair queueing and class order

One Scheduler per service and data centre decides what is accepted, what runs next and what is refused before it was granted. Teams are queued by virtual time, per class, charged with an estimate at the start and corrected with the actual run time at the end. Usage on other nodes arrives as cumulative counters, so lost, doubled and reordered reports do no harm. Background work keeps a fraction of the slot time, accounted as a bounded debt, that rises towards a due time.

Ruled out: one virtual time for both classes, because a team that has only background work waiting falls behind and then takes all interactive slots; a reserved number of slots, because with one slot it starves the other class; earliest deadline first for interactive work within a team, because later arrivals would make a predicted wait untrue.

--- /dev/null
+++ b/test/request/admission-test.cpp
@@ -0,0 +1,301 @@
+// Tests of the scheduler: truthful refusals, shares, the order of the classes and slots that free on confirmation.
+#include <waxwinglug/admission.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace waxwinglug {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr TimePoint origin { 1h };
+
+    const std::vector<TeamShare> teams { { "north", 60 }, { "south", 30 }, { "west", 10 } };
+
+    bool always(std::string_view) { return true; }
+
+    // Runs work in virtual time: every granted request runs for the time that `runTime` gives.
+    struct Machine {
+        explicit Machine(const SchedulerSettings& settings)
+            : scheduler(settings, always)
+        {
+            this->scheduler.setTeams(teams);
+        }
+
+        Admission submit(std::string_view team, WorkClass workClass, Duration deadline, Duration declared = 0ms)
+        {
+            const auto due = deadline == Duration::max() ? TimePoint::max() : this->now + deadline;
+            const auto result = this->scheduler.submit({ team, workClass, due, declared }, this->now);
+            if (result.ticket != 0)
+                this->owner[result.ticket] = { std::string(team), workClass };
+            return result;
+        }
+
+        void step(const std::function<Duration(const std::string& team, WorkClass)>& runTime)
+        {
+            this->now += 1ms;
+            while (!this->ends.empty() && this->ends.begin()->first <= this->now) {
+                this->scheduler.finished(this->ends.begin()->second, this->now);
+                this->ends.erase(this->ends.begin());
+            }
+            this->scheduler.expire(this->now, [](Ticket) {});
+            while (const auto ticket = this->scheduler.next(this->now)) {
+                const auto& [team, workClass] = this->owner.at(ticket);
+                this->scheduler.started(ticket, this->now);
+                const auto run = runTime(team, workClass);
+                this->ends.emplace(this->now + run, ticket);
+                this->used[team] += run;
+                this->usedByClass[workClass] += run;
+            }
+        }
+
+        TimePoint now = origin;
+        Scheduler scheduler;
+        std::map<Ticket, std::pair<std::string, WorkClass>> owner;
+        std::multimap<TimePoint, Ticket> ends;
+        std::map<std::string, Duration> used;
+        std::map<WorkClass, Duration> usedByClass;
+    };
+
+    double part(Duration some, Duration all)
+    {
+        return static_cast<double>(some.count()) / static_cast<double>(all.count());
+    }
+
+    // Guards against shares that follow the number of requests or the declared times instead of the time used.
+    TEST(Scheduler, sharesHoldWhenDeclaredTimesAreWrong)
+    {
+        SchedulerSettings settings;
+        settings.slots = 4;
+        Machine machine(settings);
+        const std::map<std::string, Duration> run { { "north", 20ms }, { "south", 200ms }, { "west", 50ms } };
+        for (int i = 0; i < 20'000; ++i) {
+            for (const auto& team : teams) {
+                if (machine.scheduler.waiting(team.name) < 5)
+                    machine.submit(
+                        team.name, WorkClass::Interactive, Duration::max(), team.name == "south" ? 1ms : 10s);
+            }
+            machine.step([&](const std::string& team, WorkClass) { return run.at(team); });
+        }
+        const auto all = machine.used["north"] + machine.used["south"] + machine.used["west"];
+        EXPECT_NEAR(part(machine.used["north"], all), 0.6, 0.03);
+        EXPECT_NEAR(part(machine.used["south"], all), 0.3, 0.03);
+        EXPECT_NEAR(part(machine.used["west"], all), 0.1, 0.03);
+    }
+
+    // Guards against a team that fills its share on another node and gets it a second time here.
+    TEST(Scheduler, usageElsewhereCounts)
+    {
+        SchedulerSettings settings;
+        settings.slots = 4;
+        settings.fleetSlots = 8;
+        Machine machine(settings);
+        std::uint64_t elsewhere = 1;
+        for (int i = 0; i < 20'000; ++i) {
+            for (const auto& team : teams) {
+                if (machine.scheduler.waiting(team.name) < 5)
+                    machine.submit(team.name, WorkClass::Interactive, Duration::max());
+            }
+            if (i % 1000 == 0) {
+                // Two of the four slots elsewhere are used by north, the others by nobody that waits here.
+                const std::vector<TeamUsage> report { { "north", elsewhere += 2000, 0 } };
+                machine.scheduler.peerUsage({ "other", 1 }, report);
+                machine.scheduler.peerUsage({ "other", 1 }, report); // doubled
+            }
+            machine.step([](const std::string&, WorkClass) { return 20ms; });
+        }
+        // 80 s here and 40 s elsewhere: north is due 72 s in all.
+        EXPECT_NEAR(part(machine.used["north"], 80s), (72.0 - 40.0) / 80.0, 0.05);
+    }
+
+    // Guards against background work that stalls, and against interactive work that yields more than the fraction.
+    TEST(Scheduler, backgroundGetsItsFractionAndNoMore)
+    {
+        SchedulerSettings settings;
+        settings.slots = 4;
+        Machine machine(settings);
+        for (int i = 0; i < 60'000; ++i) {
+            if (machine.scheduler.waiting("north") < 5)
+                machine.submit("north", WorkClass::Interactive, Duration::max());
+            if (machine.scheduler.waiting("south") < 5)
+                machine.submit("south", WorkClass::Background, Duration::max());
+            machine.step([](const std::string&, WorkClass workClass) {
+                return workClass == WorkClass::Background ? 400ms : 20ms;
+            });
+        }
+        const auto background = machine.usedByClass[WorkClass::Background];
+        EXPECT_NEAR(part(background, background + machine.usedByClass[WorkClass::Interactive]), 0.1, 0.02);
+    }
+
+    // Guards against nightly work that misses its time although slots could have been given to it.
+    TEST(Scheduler, backgroundRisesAsItsDueTimeNears)
+    {
+        SchedulerSettings settings;
+        settings.slots = 4;
+        settings.riseTime = 60s;
+        Machine machine(settings);
+        const auto due = machine.now + 60s;
+        std::vector<Duration> usedByThird(3);
+        for (int i = 0; i < 60'000; ++i) {
+            if (machine.scheduler.waiting("north") < 5)
+                machine.submit("north", WorkClass::Interactive, Duration::max());
+            if (machine.scheduler.waiting("south") < 5)
+                machine.submit("south", WorkClass::Background, due - machine.now);
+            machine.step([](const std::string&, WorkClass) { return 20ms; });
+            usedByThird[static_cast<std::size_t>(i / 20'000)] = machine.usedByClass[WorkClass::Background];
+        }
+        const auto first = usedByThird[0];
+        const auto last = usedByThird[2] - usedByThird[1];
+        EXPECT_GT(last, first * 2);
+        EXPECT_LT(part(last, 80s), 0.5);
+    }
+
+    // Guards against a request that is accepted although its deadline will pass while it waits.
+    TEST(Scheduler, unreachableDeadlineIsRefusedEarly)
+    {
+        SchedulerSettings settings;
+        settings.slots = 1;
+        Machine machine(settings);
+        const auto run = [](const std::string&, WorkClass) { return 100ms; };
+        machine.submit("north", WorkClass::Interactive, 1s);
+        for (int i = 0; i < 150; ++i)
+            machine.step(run);
+        int admitted = 0;
+        while (machine.submit("north", WorkClass::Interactive, 1s).refusal == Refusal::None)
+            ++admitted;
+        EXPECT_NEAR(admitted, 10, 1);
+        EXPECT_EQ(machine.submit("north", WorkClass::Interactive, 1s).refusal, Refusal::DeadlineUnreachable);
+        EXPECT_EQ(machine.submit("north", WorkClass::Interactive, 0s).refusal, Refusal::DeadlinePassed);
+        EXPECT_EQ(machine.submit("east", WorkClass::Interactive, 1s).refusal, Refusal::UnknownTeam);
+        // Another team has its own share and is still admitted.
+        EXPECT_EQ(machine.submit("south", WorkClass::Interactive, 1s).refusal, Refusal::None);
+    }
+
+    // Guards against a flood of one team that shuts the others out.
+    TEST(Scheduler, fullQueueStillAdmitsOtherTeams)
+    {
+        SchedulerSettings settings;
+        settings.slots = 1;
+        settings.queueLimit = 20;
+        Machine machine(settings);
+        while (machine.submit("north", WorkClass::Interactive, Duration::max()).refusal == Refusal::None) { }
+        EXPECT_EQ(machine.submit("north", WorkClass::Interactive, Duration::max()).refusal, Refusal::QueueFull);
+        EXPECT_EQ(machine.submit("west", WorkClass::Interactive, Duration::max()).refusal, Refusal::None);
+        while (machine.submit("south", WorkClass::Interactive, Duration::max()).refusal == Refusal::None) { }
+        EXPECT_LE(machine.scheduler.waiting(), 40U);
+    }
+
+    // Guards against a slot that is given away while the cancelled request may still run.
+    TEST(Scheduler, cancelledRunningWorkKeepsItsSlot)
+    {
+        SchedulerSettings settings;
+        settings.slots = 1;
+        Scheduler scheduler(settings, always);
+        scheduler.setTeams(teams);
+        const auto running = scheduler.submit({ .team = "north" }, origin).ticket;
+        const auto waiting = scheduler.submit({ .team = "north" }, origin).ticket;
+        EXPECT_EQ(scheduler.next(origin), running);
+        scheduler.started(running, origin);
+        EXPECT_EQ(scheduler.cancel(running, origin), CancelResult::Running);
+        EXPECT_EQ(scheduler.next(origin), 0U);
+        scheduler.finished(running, origin + 1s);
+        scheduler.finished(running, origin + 1s); // repeated
+        EXPECT_EQ(scheduler.cancel(running, origin), CancelResult::Unknown);
+        EXPECT_EQ(scheduler.next(origin + 1s), waiting);
+        EXPECT_EQ(scheduler.freeSlots(), 0);
+    }
+
+    // Guards against starts over the slots, starts of a team without a unit, tickets that run and are refused as well,
+    // and work that is forgotten. Random submissions, cancellations, ends, expiry and changes of slots and teams.
+    RC_GTEST_PROP(Scheduler, everyRequestEndsExactlyOnce, ())
+    {
+        SchedulerSettings settings;
+        settings.slots = 2;
+        settings.queueLimit = 8;
+        std::map<std::string, int, std::less<>> units { { "north", 2 }, { "south", 1 }, { "west", 2 } };
+        std::map<std::string, int, std::less<>> running;
+        Scheduler scheduler(
+            settings, [&](std::string_view team) { return running[std::string(team)] < units.find(team)->second; });
+        scheduler.setTeams(teams);
+        std::map<Ticket, std::string> waiting;
+        std::map<Ticket, std::string> granted;
+        std::map<Ticket, TimePoint> deadlines; // of the interactive requests that wait
+        std::set<Ticket> ended;
+        int slots = settings.slots;
+        auto now = origin;
+        const auto end = [&](Ticket ticket) { RC_ASSERT(ended.insert(ticket).second); };
+        const auto ops = *rc::gen::container<std::vector<std::pair<int, int>>>(
+            rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, 1000)));
+        for (const auto& [kind, value] : ops) {
+            now += Duration { value % 40 };
+            const auto& team = teams[static_cast<std::size_t>(value) % 3].name;
+            if (kind < 4) {
+                const auto workClass = value % 5 == 0 ? WorkClass::Background : WorkClass::Interactive;
+                const auto result = scheduler.submit({ team, workClass, now + Duration { value }, 20ms }, now);
+                RC_ASSERT((result.ticket == 0) == (result.refusal != Refusal::None));
+                if (result.ticket != 0)
+                    RC_ASSERT(waiting.emplace(result.ticket, team).second);
+                if (result.ticket != 0 && workClass == WorkClass::Interactive)
+                    deadlines[result.ticket] = now + Duration { value };
+            } else if (kind == 4) {
+                slots = value % 4;
+                scheduler.setSlots(slots);
+            } else if (kind == 5 && !waiting.empty()) {
+                const auto chosen = std::next(waiting.begin(), value % static_cast<int>(waiting.size()));
+                RC_ASSERT(scheduler.cancel(chosen->first, now) == CancelResult::NotRun);
+                end(chosen->first);
+                deadlines.erase(chosen->first);
+                waiting.erase(chosen);
+            } else if (kind == 6 && !granted.empty()) {
+                const auto chosen = std::next(granted.begin(), value % static_cast<int>(granted.size()));
+                if (value % 3 != 0)
+                    scheduler.started(chosen->first, now - 5ms);
+                if (value % 2 == 0)
+                    RC_ASSERT(scheduler.cancel(chosen->first, now) == CancelResult::Running);
+                scheduler.finished(chosen->first, now);
+                --running[chosen->second];
+                end(chosen->first);
+                granted.erase(chosen);
+            } else {
+                scheduler.expire(now, [&](Ticket ticket) {
+                    RC_ASSERT(waiting.erase(ticket) == 1U);
+                    RC_ASSERT(deadlines.at(ticket) <= now);
+                    deadlines.erase(ticket);
+                    end(ticket);
+                });
+                for (const auto& [ticket, deadline] : deadlines)
+                    RC_ASSERT(deadline > now);
+                while (const auto ticket = scheduler.next(now)) {
+                    const auto found = waiting.find(ticket);
+                    RC_ASSERT(found != waiting.end());
+                    RC_ASSERT(++running[found->second] <= units[found->second]);
+                    granted.insert(*found);
+                    deadlines.erase(ticket);
+                    waiting.erase(found);
+                    RC_ASSERT(static_cast<int>(granted.size()) <= slots);
+                }
+            }
+            RC_ASSERT(scheduler.waiting() == waiting.size());
+            RC_ASSERT(scheduler.occupiedSlots() == static_cast<int>(granted.size()));
+        }
+        // Whatever happened, what still waits can start or expire.
+        scheduler.setSlots(4);
+        now += 10s;
+        scheduler.expire(now, [&](Ticket ticket) { waiting.erase(ticket); });
+        for (const auto& [ticket, team] : granted) {
+            scheduler.finished(ticket, now);
+            --running[team];
+        }
+        while (const auto ticket = scheduler.next(now)) {
+            waiting.erase(ticket);
+            scheduler.finished(ticket, now);
+        }
+        RC_ASSERT(waiting.empty());
+    }
+
+} // namespace
+} // namespace waxwinglug
