--- /dev/null
+++ b/include/waxwinglug/metrics.h
@@ -0,0 +1,118 @@
+// Metrics of a daemon: histograms of wait, run and total time per team and class, counters and gauges, written in the
+// text exposition format. Boost.Histogram stays out of this header.
+#pragma once
+
+#include <waxwinglug/base.h>
+#include <waxwinglug/config.h>
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <shared_mutex>
+#include <string>
+#include <string_view>
+
+namespace waxwinglug {
+
+// Why a request was refused, that is, not run.
+enum class Refusal {
+    BadKey, // unknown or withdrawn key
+    UnknownQueue,
+    BodyTooLarge,
+    HeaderTooLarge,
+    Malformed, // malformed or ambiguous framing, or a short body
+    DeadlinePassed,
+    OverLimit, // the team's upper limit
+    QueueFull,
+    NoCapacity,
+    StoreUnavailable, // background work or an Idempotency-Key while the table is down
+    Cancelled, // the caller disconnected before the start
+    ShuttingDown,
+};
+constexpr std::size_t refusalKinds = 12;
+
+std::string_view toText(Refusal kind);
+
+// Times of one request. A request that never ran has no run time and is not recorded here.
+struct RequestTimes {
+    std::chrono::microseconds wait { 0 };
+    std::chrono::microseconds run { 0 };
+    std::chrono::microseconds total { 0 };
+};
+
+namespace detail {
+    struct TimeHistogram;
+}
+
+// The histograms of one team and class. Lives as long as its Metrics.
+class RequestSeries {
+public:
+    RequestSeries();
+    ~RequestSeries();
+
+    // Takes no lock and allocates nothing; may be called from several threads.
+    void record(const RequestTimes& times);
+
+private:
+    friend class Metrics;
+    std::array<std::unique_ptr<detail::TimeHistogram>, 3> histograms; // wait, run, total
+};
+
+// A number that only grows. Lives as long as its Metrics.
+class Counter {
+public:
+    void add(std::uint64_t amount = 1) { this->number.fetch_add(amount, std::memory_order_relaxed); }
+    std::uint64_t value() const { return this->number.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::uint64_t> number { 0 };
+};
+
+// All functions may be called from several threads.
+class Metrics {
+public:
+    // Teams beyond this number share the team label "other", so that labels cannot fill the memory.
+    static constexpr std::size_t mostTeams = 256;
+
+    // Returns the histograms of a team and class. Callers on the request path keep the reference.
+    RequestSeries& series(std::string_view team, WorkClass workClass);
+    void record(std::string_view team, WorkClass workClass, const RequestTimes& times)
+    {
+        this->series(team, workClass).record(times);
+    }
+
+    void refuse(Refusal kind) { this->refusals[static_cast<std::size_t>(kind)].add(); }
+    std::uint64_t refused(Refusal kind) const { return this->refusals[static_cast<std::size_t>(kind)].value(); }
+
+    // Returns the counter `waxwing_<name>_total`. Name and help are fixed texts of the code, in [a-z_] and one line;
+    // callers keep the reference.
+    Counter& counter(std::string_view name, std::string_view help);
+    // Sets the gauge `waxwing_<name>`.
+    void setGauge(std::string_view name, std::string_view help, double value);
+
+    // All metrics in the text exposition format, version 0.0.4.
+    std::string exposition() const;
+
+private:
+    struct NamedCounter {
+        std::string help;
+        Counter counter;
+    };
+    struct Gauge {
+        std::string help;
+        double value = 0;
+    };
+    using TeamSeries = std::array<std::unique_ptr<RequestSeries>, 2>; // by class; null until it is used
+
+    mutable std::shared_mutex seriesMutex;
+    std::map<std::string, TeamSeries, std::less<>> teams;
+    std::array<Counter, refusalKinds> refusals;
+    mutable std::mutex namedMutex;
+    std::map<std::string, NamedCounter, std::less<>> counters;
+    std::map<std::string, Gauge, std::less<>> gauges;
+};
+
+} // namespace waxwinglug
