--- a/include/waxwinglug/request.h
+++ b/include/waxwinglug/request.h
@@ -76,6 +76,7 @@
     StoreUnavailable,
     ShuttingDown,
 };
+inline constexpr std::size_t refusalKinds = 13;
 
 struct RefusalInfo {
     int httpStatus = 503;
