--- /dev/null
+++ b/test/version/rollout-test.cpp
@@ -0,0 +1,186 @@
+// State-machine test of roll-outs: several followers and two coordinators under outages, lost answers, lost and delayed
+// peer messages, restarts and isolation. Times are those of ManualClock.
+#include "support/rollout-world.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace waxwinglug {
+namespace {
+
+    using namespace std::chrono_literals;
+    using test::documentFor;
+    using test::World;
+
+    struct Step {
+        int kind = 0;
+        unsigned value = 0;
+        unsigned milliseconds = 0;
+    };
+
+    void perform(World& world, const Step& step)
+    {
+        const auto index = step.value % world.nodes.size();
+        auto& node = *world.nodes[index];
+        switch (step.kind) {
+        case 0:
+        case 1:
+            world.propose(step.value % 2, step.value / 2);
+            break;
+        case 2:
+            world.abandon(step.value % 2);
+            break;
+        case 3:
+            node.cutFromPlatform = !node.cutFromPlatform;
+            break;
+        case 4:
+            node.cutFromPeers = !node.cutFromPeers;
+            break;
+        case 5:
+            node.losesAnswers = !node.losesAnswers;
+            break;
+        case 6:
+            world.fake.down = !world.fake.down;
+            break;
+        case 7:
+            world.fake.loseCommitAnswers = !world.fake.loseCommitAnswers;
+            break;
+        case 8:
+            world.start(index);
+            break;
+        case 9:
+            world.kill(index);
+            break;
+        case 10:
+            world.remove(index);
+            break;
+        case 11:
+            world.delayMessages = !world.delayMessages;
+            break;
+        case 12:
+            node.paused = !node.paused;
+            break;
+        case 13:
+            // An operator tool ends in the middle of its work and is started again.
+            world.coordinators[step.value % 2]
+                = std::make_unique<RolloutCoordinator>(world.fake.platform(), world.clock.clock(), world.random);
+            break;
+        default:
+            break;
+        }
+        world.advance(Duration(step.milliseconds));
+    }
+
+    rc::Gen<std::vector<Step>> steps(std::size_t count)
+    {
+        const auto step = rc::gen::map(
+            rc::gen::tuple(rc::gen::inRange(0, 18), rc::gen::inRange(0U, 128U), rc::gen::inRange(50U, 1500U)),
+            [](const std::tuple<int, unsigned, unsigned>& values) {
+                return Step { std::get<0>(values), std::get<1>(values), std::get<2>(values) };
+            });
+        return rc::gen::container<std::vector<Step>>(count, step);
+    }
+
+    // Guards against a withdrawn key that a node still accepts, a limit that a node still exceeds, and a version that
+    // reverts, after any sequence of failures; and against a roll-out that does not end once the failures are over.
+    RC_GTEST_PROP(Rollout, rightsNeverExceedTheAcceptedVersion, ())
+    {
+        const auto stop = *rc::gen::inRange(0, 4);
+        std::vector<Isolation> isolations(4, Isolation::Serve);
+        std::fill_n(isolations.begin(), std::max(0, stop - 1), Isolation::Stop);
+        World world(isolations);
+        RC_ASSERT(world.currentVersion() == 1U);
+        const auto count = *rc::gen::inRange<std::size_t>(1, 60);
+        for (const auto& step : *steps(count))
+            perform(world, step);
+        world.fake.down = false;
+        world.fake.loseCommitAnswers = false;
+        world.delayMessages = false;
+        for (std::size_t i = 0; i < world.nodes.size(); ++i) {
+            auto& node = *world.nodes[i];
+            node.cutFromPlatform = node.cutFromPeers = node.losesAnswers = node.paused = false;
+            if (!node.follower)
+                world.start(i);
+        }
+        world.settle();
+        const auto proposal = Json::parse(world.fake.row("config/proposal").value);
+        RC_ASSERT(proposal.at("state") != static_cast<int>(ProposalState::Open));
+        for (const auto& node : world.nodes) {
+            RC_ASSERT(node->follower->versions().inForce == world.currentVersion());
+            RC_ASSERT(*node->follower->granted()->at(world.clock.now()) == *node->follower->granted()->fresh);
+        }
+    }
+
+    // Guards against a data centre that is cut off from the platform and never learns a version its peers know.
+    TEST(Rollout, aVersionTravelsThroughPeers)
+    {
+        World world(std::vector<Isolation>(3, Isolation::Serve));
+        world.propose(0, 7);
+        world.advance(200ms);
+        // Until the last node has acknowledged.
+        for (int i = 0; i < 20 && world.nodes[2]->follower->versions().held != 2; ++i)
+            world.advance(100ms);
+        world.nodes[2]->cutFromPlatform = true;
+        world.settle();
+        EXPECT_EQ(world.currentVersion(), 2U);
+        EXPECT_EQ(world.nodes[2]->follower->versions().inForce, 2U);
+    }
+
+    // Guards against acceptance without a node that did not answer, and against a status that does not name it.
+    TEST(Rollout, acceptanceWaitsForASilentNodeAndNamesIt)
+    {
+        World world(std::vector<Isolation>(3, Isolation::Serve));
+        world.nodes[1]->cutFromPlatform = true;
+        world.nodes[1]->cutFromPeers = true;
+        world.propose(0, 7);
+        world.settle();
+        EXPECT_EQ(world.currentVersion(), 1U);
+        std::vector<std::string> waiting;
+        world.coordinators[1]->status([&waiting](const auto& status) { waiting = status.value().waitingFor; });
+        world.fake.deliver();
+        EXPECT_EQ(waiting, std::vector<std::string> { "e1" });
+        EXPECT_EQ(world.nodes[1]->follower->granted()->at(world.clock.now())->teams.at("n").keys.size(), 4U);
+        world.remove(1);
+        world.settle();
+        EXPECT_EQ(world.currentVersion(), 2U);
+    }
+
+    // Guards against a second operator who overwrites the change of the first.
+    TEST(Rollout, theSecondOperatorGetsAConflictThatNamesTheVersion)
+    {
+        World world(std::vector<Isolation>(2, Isolation::Serve));
+        std::vector<std::string> errors;
+        const auto record = [&errors](const std::optional<Error>& error, std::uint64_t) {
+            errors.emplace_back(error ? error->what() : "");
+        };
+        world.coordinators[0]->propose(documentFor(3), 1, {}, record);
+        world.coordinators[1]->propose(documentFor(5), 1, {}, record);
+        world.fake.deliver();
+        std::sort(errors.begin(), errors.end());
+        ASSERT_EQ(errors.size(), 2U);
+        EXPECT_EQ(errors[0], "");
+        EXPECT_NE(errors[1].find("version 2"), std::string::npos) << errors[1];
+        world.settle();
+        errors.clear();
+        world.coordinators[1]->propose(documentFor(5), 1, {}, record);
+        world.fake.deliver();
+        ASSERT_EQ(errors.size(), 1U);
+        EXPECT_NE(errors[0].find("version 2 is newer than version 1"), std::string::npos) << errors[0];
+    }
+
+    // Guards against an isolated node with Isolation::Stop that blocks acceptance or still grants afterwards.
+    TEST(Rollout, aNodeThatStopsByItselfIsNotWaitedFor)
+    {
+        World world({ Isolation::Stop, Isolation::Serve });
+        world.nodes[0]->cutFromPlatform = true;
+        world.nodes[0]->cutFromPeers = true;
+        world.propose(0, 0);
+        world.settle();
+        EXPECT_EQ(world.currentVersion(), 2U);
+        EXPECT_TRUE(world.nodes[0]->follower->granted()->at(world.clock.now())->teams.at("n").keys.empty());
+    }
+
+} // namespace
+} // namespace waxwinglug
