Keep repeated requests from running twice

The ledger resolves request ids at their home node from memory; an id that it does not hold is unknown and never runs. The claim row names the request id, so another node asks the home node of that id. A committed claim is granted without a read; its version is read only when the claim is removed. The row is not written again when the request is answered: the home node knows the answer, and once it is gone the outcome is unknown in either case.

While a transaction without an answer cannot be read back, claims that were never sent are refused as not run at once. A claim with a lost answer waits until the table answers, because it may be stored.

--- a/include/waxwinglug/config.h
+++ b/include/waxwinglug/config.h
@@ -34,7 +34,7 @@
     Duration deadline { std::chrono::seconds(2) };
     // A backend server that has not answered after this time has failed.
     Duration longestRun { std::chrono::seconds(30) };
-    std::uint64_t bodyLimit = 1024 * 1024; // bytes
+    std::uint64_t bodyLimit = 1024ULL * 1024; // bytes
     int queueLimit = 1000; // waiting requests per entry VM
     ClaimsWhenDown claimsWhenDown = ClaimsWhenDown::Refuse;
 };
--- /dev/null
+++ b/src/request/at-most-once.cpp
@@ -0,0 +1,368 @@
+// Claims of Idempotency-Keys in the table.
+#include <waxwinglug/at-most-once.h>
+
+#include <waxwinglug/json.h>
+
+#include <fmt/format.h>
+#include <sodium.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace waxwinglug {
+namespace {
+
+    // The caller's key can be long or hold any character, and it may be confidential.
+    std::string rowKey(std::string_view team, std::string_view key)
+    {
+        std::array<unsigned char, 16> hash {};
+        crypto_generichash(hash.data(), hash.size(), reinterpret_cast<const unsigned char*>(key.data()), key.size(),
+            reinterpret_cast<const unsigned char*>(team.data()), team.size());
+        return fmt::format("claim/{}/{:02x}", team, fmt::join(hash, ""));
+    }
+
+    struct ClaimRow {
+        std::string request;
+        std::uint64_t nonce = 0;
+        WallTime expiry;
+    };
+
+    std::string encode(const ClaimRow& row)
+    {
+        const Json json { { "request", row.request }, { "nonce", row.nonce }, { "state", "claimed" },
+            { "expiry", row.expiry.time_since_epoch().count() } };
+        return json.dump();
+    }
+
+    // Nothing when the row holds another form; it is then treated as a claim that never expires.
+    std::optional<ClaimRow> decode(const Row& row)
+    {
+        try {
+            const auto json = Json::parse(row.value);
+            return ClaimRow { json.at("request").get<std::string>(), json.at("nonce").get<std::uint64_t>(),
+                WallTime(Duration(json.at("expiry").get<Duration::rep>())) };
+        } catch (const Json::exception&) {
+            return std::nullopt;
+        }
+    }
+
+} // namespace
+
+IdempotencyClaims::IdempotencyClaims(
+    Table hooks, Clock source, ClaimOptions claimOptions, std::function<std::uint64_t()> nonceSource)
+    : table(std::move(hooks))
+    , clock(std::move(source))
+    , options(claimOptions)
+    , nonces(std::move(nonceSource))
+    , alive(std::make_shared<bool>(true))
+{
+}
+
+IdempotencyClaims::~IdempotencyClaims() { *this->alive = false; }
+
+void IdempotencyClaims::claim(std::string_view team, std::string_view key, const RequestId& request,
+    ClaimsWhenDown whenDown, std::function<void(ClaimResult)> handler)
+{
+    auto row = rowKey(team, key);
+    const auto [entry, isNew] = this->claims.try_emplace(row);
+    if (!isNew) {
+        handler({ ClaimResult::Kind::Elsewhere, entry->second.request });
+        return;
+    }
+    auto& claim = entry->second;
+    claim.key = row;
+    claim.request = request;
+    claim.nonce = this->nonces();
+    claim.whenDown = whenDown;
+    claim.handler = std::move(handler);
+    claim.expiry = this->clock.wallNow() + this->options.keepTime;
+    this->keyOf[request] = row;
+    this->expiries.emplace_back(claim.expiry, row);
+    this->waitingPuts.push_back(std::move(row));
+}
+
+void IdempotencyClaims::release(const RequestId& request, std::function<void()> removed)
+{
+    const auto found = this->keyOf.find(request);
+    if (found == this->keyOf.end()) {
+        removed();
+        return;
+    }
+    auto& claim = this->claims.at(found->second);
+    claim.removed = std::move(removed);
+    claim.handler = nullptr;
+    if (claim.releasing)
+        return;
+    claim.releasing = true;
+    if (claim.inTransaction)
+        return;
+    if (claim.isStored) {
+        this->waitingRemovals.push_back(claim.key);
+        return;
+    }
+    std::erase(this->waitingPuts, claim.key);
+    this->end(claim, std::nullopt);
+}
+
+// Ends the life of a claim at this node and reports it; without a result, the claim has been removed.
+void IdempotencyClaims::end(Claim& claim, std::optional<ClaimResult> result)
+{
+    const auto handler = std::move(claim.handler);
+    const auto removed = std::move(claim.removed);
+    this->keyOf.erase(claim.request);
+    this->claims.erase(this->claims.find(claim.key));
+    if (handler)
+        handler(result ? std::move(*result) : ClaimResult { ClaimResult::Kind::Refused, std::nullopt });
+    if (removed)
+        removed();
+}
+
+void IdempotencyClaims::tick(int liveEntryVms)
+{
+    const auto now = this->clock.now();
+    if (this->busy || now < this->nextSend)
+        return;
+    this->expireOwn();
+    if (!this->unsettled && this->waiting() == 0 && this->sweepWrites.empty())
+        return;
+    const double perNode = std::max(1, liveEntryVms) / this->options.transactionsPerSecond;
+    this->nextSend = now + std::max(Duration(1), std::chrono::ceil<Duration>(std::chrono::duration<double>(perNode)));
+    if (this->unsettled)
+        this->readBack(std::exchange(this->unsettled, std::nullopt).value());
+    else
+        this->send();
+}
+
+void IdempotencyClaims::expireOwn()
+{
+    const auto now = this->clock.wallNow();
+    for (std::size_t i = 0; i < this->options.rowsPerTransaction; ++i) {
+        if (this->expiries.empty() || this->expiries.front().first > now)
+            return;
+        const auto key = std::move(this->expiries.front().second);
+        this->expiries.pop_front();
+        const auto found = this->claims.find(key);
+        // The key may have been claimed again since, which has an entry of its own.
+        if (found == this->claims.end() || found->second.releasing || found->second.expiry > now)
+            continue;
+        auto& claim = found->second;
+        if (claim.inTransaction || claim.handler) {
+            this->expiries.emplace_back(now + std::chrono::minutes(1), key);
+            continue;
+        }
+        claim.releasing = true;
+        if (claim.isStored) {
+            this->waitingRemovals.push_back(key);
+        } else {
+            std::erase(this->waitingPuts, key);
+            this->end(claim, std::nullopt);
+        }
+    }
+}
+
+void IdempotencyClaims::addPut(Batch& batch, Claim& claim)
+{
+    claim.inTransaction = true;
+    batch.keys.push_back(claim.key);
+    batch.writes.push_back(
+        { claim.key, encode({ claim.request.text(), claim.nonce, claim.expiry }), claim.expectedVersion });
+}
+
+// A granted claim is removed only by its version, which a committed transaction does not report.
+void IdempotencyClaims::readVersions()
+{
+    Batch batch;
+    std::deque<std::string> rest;
+    for (auto& key : this->waitingRemovals) {
+        auto& claim = this->claims.at(key);
+        if (claim.version != 0 || batch.keys.size() >= this->options.rowsPerTransaction) {
+            rest.push_back(std::move(key));
+            continue;
+        }
+        claim.inTransaction = true;
+        batch.keys.push_back(std::move(key));
+    }
+    this->waitingRemovals = std::move(rest);
+    if (!batch.keys.empty())
+        this->readBack(std::move(batch));
+}
+
+void IdempotencyClaims::send()
+{
+    this->readVersions();
+    if (this->busy)
+        return;
+    Batch batch;
+    while (!this->waitingRemovals.empty() && batch.writes.size() < this->options.rowsPerTransaction) {
+        auto& claim = this->claims.at(this->waitingRemovals.front());
+        this->waitingRemovals.pop_front();
+        claim.inTransaction = true;
+        batch.keys.push_back(claim.key);
+        batch.writes.push_back({ claim.key, std::nullopt, claim.version });
+    }
+    while (!this->waitingPuts.empty() && batch.writes.size() < this->options.rowsPerTransaction) {
+        this->addPut(batch, this->claims.at(this->waitingPuts.front()));
+        this->waitingPuts.pop_front();
+    }
+    if (batch.writes.empty())
+        batch.writes = std::exchange(this->sweepWrites, {});
+    this->busy = true;
+    ++this->transactionCount;
+    auto writes = batch.writes;
+    this->table.commit(
+        std::move(writes), [this, live = this->alive, batch = std::move(batch)](CommitResult result) mutable {
+            if (*live)
+                this->onCommit(std::move(batch), std::move(result));
+        });
+}
+
+void IdempotencyClaims::onCommit(Batch batch, CommitResult result)
+{
+    this->busy = false;
+    switch (result.status) {
+    case CommitStatus::Committed:
+        for (const auto& key : batch.keys) {
+            auto& claim = this->claims.at(key);
+            claim.inTransaction = false;
+            if (claim.version != 0)
+                this->end(claim, std::nullopt);
+            else
+                this->stored(claim, 0);
+        }
+        break;
+    case CommitStatus::Unknown:
+        if (!batch.keys.empty())
+            this->readBack(std::move(batch));
+        break;
+    case CommitStatus::Conflict:
+        // Rows without a conflict were not written; they are sent again with the next transaction.
+        this->settle(batch, result.conflicts);
+        break;
+    case CommitStatus::Unavailable:
+        this->onUnavailable(batch);
+        break;
+    }
+}
+
+void IdempotencyClaims::readBack(Batch batch)
+{
+    this->busy = true;
+    auto keys = batch.keys;
+    this->table.read(std::move(keys),
+        [this, live = this->alive, batch = std::move(batch)](std::optional<std::vector<Row>> rows) mutable {
+            if (!*live)
+                return;
+            this->busy = false;
+            if (rows) {
+                this->settle(batch, *rows);
+                return;
+            }
+            this->unsettled = std::move(batch);
+            this->refuseWaiting();
+        });
+}
+
+void IdempotencyClaims::settle(const Batch& batch, const std::vector<Row>& rows)
+{
+    for (const auto& key : batch.keys) {
+        auto& claim = this->claims.at(key);
+        claim.inTransaction = false;
+        const auto found = std::find_if(rows.begin(), rows.end(), [&key](const Row& row) { return row.key == key; });
+        if (found != rows.end())
+            this->settleClaim(claim, *found);
+        else if (claim.isStored)
+            this->waitingRemovals.push_back(key);
+        else if (claim.releasing)
+            this->end(claim, std::nullopt);
+        else
+            this->waitingPuts.push_back(key);
+    }
+}
+
+// The table does not answer. Claims that were never sent need not wait for the unsettled transaction.
+void IdempotencyClaims::refuseWaiting()
+{
+    for (const auto& key : this->unsettled->keys) {
+        auto& claim = this->claims.at(key);
+        if (claim.whenDown != ClaimsWhenDown::HomeOnly || claim.releasing)
+            continue;
+        if (const auto handler = std::exchange(claim.handler, nullptr))
+            handler({ ClaimResult::Kind::HomeOnly, std::nullopt });
+    }
+    Batch waitingBatch;
+    waitingBatch.keys.assign(this->waitingPuts.begin(), this->waitingPuts.end());
+    this->waitingPuts.clear();
+    this->onUnavailable(waitingBatch);
+}
+
+void IdempotencyClaims::settleClaim(Claim& claim, const Row& row)
+{
+    const auto holder = row.version == 0 ? std::nullopt : decode(row);
+    if (holder && holder->nonce == claim.nonce && holder->request == claim.request.text()) {
+        this->stored(claim, row.version);
+        return;
+    }
+    // Its own row is gone, or it never was stored.
+    if (claim.releasing) {
+        this->end(claim, std::nullopt);
+        return;
+    }
+    if (row.version == 0 || (holder && holder->expiry <= this->clock.wallNow())) {
+        claim.expectedVersion = row.version;
+        this->waitingPuts.push_back(claim.key);
+        return;
+    }
+    this->end(
+        claim, ClaimResult { ClaimResult::Kind::Elsewhere, holder ? parseRequestId(holder->request) : std::nullopt });
+}
+
+void IdempotencyClaims::stored(Claim& claim, std::uint64_t version)
+{
+    claim.version = version;
+    claim.isStored = true;
+    // Granted too late, the claim could expire while the request runs.
+    const bool tooLate = claim.handler && claim.expiry - this->clock.wallNow() < this->options.longestRequest;
+    if (claim.releasing || tooLate) {
+        claim.releasing = true;
+        this->waitingRemovals.push_back(claim.key);
+        return;
+    }
+    if (const auto handler = std::exchange(claim.handler, nullptr))
+        handler({ ClaimResult::Kind::Granted, std::nullopt });
+}
+
+void IdempotencyClaims::onUnavailable(const Batch& batch)
+{
+    for (const auto& key : batch.keys) {
+        auto& claim = this->claims.at(key);
+        claim.inTransaction = false;
+        if (claim.isStored) {
+            this->waitingRemovals.push_back(key);
+        } else if (claim.releasing) {
+            this->end(claim, std::nullopt);
+        } else if (claim.whenDown == ClaimsWhenDown::HomeOnly) {
+            if (const auto handler = std::exchange(claim.handler, nullptr))
+                handler({ ClaimResult::Kind::HomeOnly, std::nullopt });
+        } else {
+            this->end(claim, ClaimResult { ClaimResult::Kind::Refused, std::nullopt });
+        }
+    }
+}
+
+void IdempotencyClaims::sweep()
+{
+    this->table.scan("claim/", [this, live = this->alive](std::optional<std::vector<Row>> rows) {
+        if (!*live || !rows)
+            return;
+        this->sweepWrites.clear();
+        for (const auto& row : *rows) {
+            const auto claim = decode(row);
+            if (claim && claim->expiry + this->options.keepTime <= this->clock.wallNow()
+                && this->sweepWrites.size() < this->options.rowsPerTransaction)
+                this->sweepWrites.push_back({ row.key, std::nullopt, row.version });
+        }
+    });
+}
+
+} // namespace waxwinglug
