Add the maintainer: lease, drains, budgets and waves

Each cycle reads the lease, the wave rows and the rows it wrote itself, asks for the VM list, and commits one transaction that renews the lease. It keeps nothing between cycles that rows do not show, so another instance continues a drain left half-way, and an unknown outcome is resolved by reading again.

A nonce per write was ruled out: no decision depends on whose write it was, only on what the rows show. A wall-clock expiry in the lease was ruled out: watchers time an unchanged row version on their own steady clock. Scanning all rows each second was ruled out at 850 VMs; only the active instance writes VM rows, so it reads back what it wrote.

A VM in slow start counts as out of service. A drain of a paused, cancelled or closed wave returns without a reboot, because the reboot is ordered only in a later phase. A restart of a draining VM by itself counts as its maintenance.

--- /dev/null
+++ b/src/process/maintenance-step.h
@@ -0,0 +1,82 @@
+// One decision of the active maintainer: from the rows and the VM list to row writes and orders.
+#pragma once
+
+#include <waxwinglug/civil-time.h>
+#include <waxwinglug/maintenance.h>
+#include <waxwinglug/wave-planner.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace waxwinglug::detail {
+
+// What the step reads besides the rows.
+struct StepInput {
+    const Config& config;
+    const MaintenanceSettings& settings;
+    const MaintenanceHooks& hooks;
+    const std::map<std::string, std::uint64_t>& probed;
+    const std::vector<PoolMove>& moves;
+    WallTime now;
+};
+
+class FleetStep {
+public:
+    FleetStep(const FleetRows& before, const std::vector<VmStatus>& listed, const StepInput& stepInput);
+
+    void run();
+
+    // The changed rows, without the lease.
+    std::vector<RowWrite> writes() const;
+    const std::vector<WaveProgress>& progress() const { return this->waveProgress; }
+
+    // Orders that the rows as read call for. They may be repeated.
+    std::map<std::string, std::uint64_t> reboots;
+    std::vector<std::string> checkpoints;
+    std::map<std::string, std::uint64_t> probes;
+    std::vector<std::string> lines;
+
+private:
+    void createRows();
+    void advance(const std::string& vm);
+    void advanceServing(const std::string& vm, VmRow row, const VmStatus* status);
+    void advanceDraining(const std::string& vm, VmRow row, const VmStatus* status);
+    void advanceRebooting(const std::string& vm, VmRow row, const VmStatus* status);
+    void advanceReturning(const std::string& vm, VmRow row, const VmStatus* status);
+    bool confirmed(const std::string& vm, const VmRow& row);
+    bool drainMayGoOn(const VmRow& row) const;
+    void write(const std::string& vm, VmRow row, VmPhase phase);
+    void setPlanned(const std::string& pool, const std::string& vm, bool planned);
+    bool planned(const std::string& vm, const VmRow& row) const;
+    bool available(const std::string& vm, const VmRow& row) const;
+    void recordFailure(const std::string& vm, const VmRow& row);
+    void advanceWave(const std::string& name);
+    void startDrains(const Wave& wave, const std::string& tag, WaveProgress& report);
+    void estimateEnd(const Wave& wave, const WavePlan& plan, WaveProgress& report) const;
+    void buildPlan(const Wave& wave, const std::string& tag);
+    void applyMoves();
+    bool full() const { return this->changedVms.size() >= this->input.settings.changesPerCommit; }
+    const VmStatus* statusOf(const std::string& vm) const;
+    void wait(const std::string& vm, std::string_view reason);
+
+    StepInput input;
+    CivilClock civil;
+    FleetRows rows;
+    std::map<std::string, VmStatus, std::less<>> list;
+    std::set<std::string> changedVms;
+    std::set<std::string> changedBudgets;
+    std::set<std::string> changedWaves;
+    std::set<std::string> changedJournals;
+    std::map<std::string, std::string> waits;
+    std::vector<WaveProgress> waveProgress;
+    // The planner's view of the fleet, rebuilt for each wave.
+    std::vector<PlanPool> planPools;
+    std::vector<PlanVm> planVms;
+    std::vector<std::string> planNames;
+};
+
+std::string waveTag(std::string_view wave, std::uint64_t run);
+
+} // namespace waxwinglug::detail
--- /dev/null
+++ b/src/process/maintenance-waves.cpp
@@ -0,0 +1,161 @@
+// Waves: pause, start of drains, end, and the report of progress.
+#include "process/maintenance-step.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace waxwinglug::detail {
+namespace {
+
+    bool names(const Wave& wave, std::string_view pool)
+    {
+        return std::find(wave.pools.begin(), wave.pools.end(), pool) != wave.pools.end();
+    }
+
+    std::string failureReason(const Wave& wave, const WaveRow& row)
+    {
+        std::string list;
+        for (const auto& failure : row.failures)
+            list.append(list.empty() ? "" : ", ").append(failure.vm);
+        return fmt::format("{} VMs failed within {} min: {}; look for a common cause, then resume the wave",
+            row.failures.size(), std::chrono::duration_cast<std::chrono::minutes>(wave.failureWindow).count(), list);
+    }
+
+} // namespace
+
+void FleetStep::advanceWave(const std::string& name)
+{
+    const auto held = this->rows.waves.find(name);
+    if (held == this->rows.waves.end())
+        return;
+    const auto& wave = this->input.config.waves.at(name);
+    auto& row = held->second.row;
+    if (row.state == WaveState::Running) {
+        const auto oldest = this->input.now - wave.failureWindow;
+        const auto dropped = std::erase_if(row.failures, [&](const auto& failure) { return failure.at < oldest; });
+        if (static_cast<int>(row.failures.size()) >= wave.pauseAfterFailures) {
+            row.state = WaveState::Paused;
+            row.reason = failureReason(wave, row);
+            this->lines.push_back(fmt::format("wave paused wave={} reason={}", name, row.reason));
+        }
+        if (dropped || row.state == WaveState::Paused)
+            this->changedWaves.insert(name);
+    }
+
+    WaveProgress report;
+    report.wave = name;
+    report.run = row.run;
+    const auto tag = waveTag(name, row.run);
+    for (const auto& [vm, heldVm] : this->rows.vms) {
+        if (!names(wave, heldVm.row.pool) || !this->input.config.vms.contains(vm))
+            continue;
+        ++report.total;
+        if (heldVm.row.wave == tag && heldVm.row.phase == VmPhase::Serving)
+            ++report.done;
+        else if (const auto reason = this->waits.find(vm); reason != this->waits.end())
+            report.waits.push_back({ vm, heldVm.row.phase, reason->second });
+    }
+    if (row.state == WaveState::Running) {
+        if (report.done == report.total) {
+            row.state = WaveState::Done;
+            this->changedWaves.insert(name);
+            this->lines.push_back(fmt::format("wave done wave={} run={}", name, row.run));
+        } else {
+            this->startDrains(wave, tag, report);
+        }
+    }
+    report.state = row.state;
+    if (row.state == WaveState::Paused)
+        report.reason = row.reason;
+    this->waveProgress.push_back(std::move(report));
+}
+
+void FleetStep::buildPlan(const Wave& wave, const std::string& tag)
+{
+    this->planPools.clear();
+    this->planVms.clear();
+    this->planNames.clear();
+    std::map<std::string_view, std::uint32_t> poolIndex;
+    for (const auto& [name, pool] : this->input.config.pools) {
+        poolIndex[name] = static_cast<std::uint32_t>(this->planPools.size());
+        this->planPools.push_back({ name, pool.minAvailable, pool.maxRacksDown });
+    }
+    std::map<std::pair<std::string_view, std::string_view>, std::uint32_t> rackIndex;
+    for (const auto& [name, held] : this->rows.vms) {
+        const auto declared = this->input.config.vms.find(name);
+        const auto pool = poolIndex.find(held.row.pool);
+        if (declared == this->input.config.vms.end() || pool == poolIndex.end())
+            continue;
+        const auto& vm = declared->second;
+        const auto rack = rackIndex.try_emplace({ vm.dataCentre, vm.rack }, rackIndex.size()).first->second;
+        PlanVm plan;
+        plan.pool = pool->second;
+        plan.rack = rack;
+        plan.down = !this->available(name, held.row);
+        plan.returns = plan.down && this->planned(name, held.row);
+        plan.wanted = names(wave, held.row.pool) && held.row.wave != tag;
+        if (plan.wanted || plan.returns)
+            plan.work = this->input.hooks.expectedWork(name);
+        this->planVms.push_back(plan);
+        this->planNames.push_back(name);
+    }
+}
+
+void FleetStep::startDrains(const Wave& wave, const std::string& tag, WaveProgress& report)
+{
+    this->buildPlan(wave, tag);
+    const auto plan = planWave(this->planPools, this->planVms, this->input.settings.perVm);
+    report.reason = plan.limit;
+    this->estimateEnd(wave, plan, report);
+    const auto window = this->input.config.windows.find(wave.window);
+    const auto left = window == this->input.config.windows.end()
+        ? Duration(0)
+        : this->civil.timeLeft(window->second, this->input.now);
+    if (left == Duration(0)) {
+        report.reason = fmt::format("outside window {}", wave.window);
+        return;
+    }
+    for (const auto vm : plan.blocked)
+        report.waits.push_back({ this->planNames[vm], VmPhase::Serving, "no order of work fits the pool's budget" });
+    for (const auto index : plan.start) {
+        const auto& name = this->planNames[index];
+        // A VM whose row changed in this step may be one that has just come back; it is judged anew next time.
+        if (this->full() || this->changedVms.contains(name))
+            continue;
+        if (this->planVms[index].work + this->input.settings.perVm > left) {
+            report.waits.push_back({ name, VmPhase::Serving, "the window ends before it would be back" });
+            continue;
+        }
+        auto row = this->rows.vms.at(name).row;
+        row.wave = tag;
+        this->setPlanned(row.pool, name, true);
+        this->write(name, row, VmPhase::Draining);
+    }
+}
+
+// Spreads the remaining time over the coming windows.
+void FleetStep::estimateEnd(const Wave& wave, const WavePlan& plan, WaveProgress& report) const
+{
+    const auto window = this->input.config.windows.find(wave.window);
+    if (!plan.blocked.empty() || window == this->input.config.windows.end())
+        return;
+    // A wave that needs more windows than this gets no date.
+    constexpr int mostWindows = 100;
+    auto remaining = plan.remaining;
+    auto at = this->input.now;
+    for (int count = 0; count < mostWindows; ++count) {
+        const auto next = this->civil.nextWindow(window->second, at);
+        if (!next)
+            return;
+        const auto start = std::max(at, next->start);
+        if (remaining <= next->end - start) {
+            report.expectedEnd = start + remaining;
+            return;
+        }
+        remaining -= next->end - start;
+        at = next->end;
+    }
+}
+
+} // namespace waxwinglug::detail
