--- /dev/null
+++ b/test/process/pool-sizer-test.cpp
@@ -0,0 +1,112 @@
+// Tests of pool sizing: peaks, trend, hysteresis and the spare pool's lower bound.
+#include <waxwinglug/pool-sizer.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace waxwinglug {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Two pools and a spare pool with VMs that move as the sizer says.
+    struct Fleet {
+        Fleet()
+        {
+            this->config.pools["a"] = { "a", "a", 0.8, 1, 2, false };
+            this->config.pools["b"] = { "b", "b", 0.8, 1, 2, false };
+            this->config.pools["spare"] = { "spare", "misc", 0.8, 1, 3, true };
+            for (int index = 0; index < 24; ++index)
+                this->poolOf["v" + std::to_string(100 + index)] = index < 8 ? "a" : index < 16 ? "b" : "spare";
+        }
+
+        std::vector<std::string> vmsOf(const std::string& pool) const
+        {
+            std::vector<std::string> names;
+            for (const auto& [vm, in] : this->poolOf) {
+                if (in == pool)
+                    names.push_back(vm);
+            }
+            return names;
+        }
+
+        // One sample a second.
+        std::vector<PoolMove> second(double demandA, double demandB, double demandSpare = 0)
+        {
+            this->clock.advance(1s);
+            const auto moves = this->sizer.update(this->clock.now(), this->config,
+                { { "a", demandA, 8, this->vmsOf("a") }, { "b", demandB, 8, this->vmsOf("b") },
+                    { "spare", demandSpare, 8, this->vmsOf("spare") } });
+            for (const auto& move : moves)
+                this->poolOf[move.vm] = move.to;
+            this->moved += moves.size();
+            return moves;
+        }
+
+        Config config;
+        ManualClock clock;
+        PoolSizer sizer;
+        std::map<std::string, std::string> poolOf;
+        std::size_t moved = 0;
+    };
+
+    // Guards against moves that chase peaks: they arrive minutes after a peak of seconds has passed.
+    TEST(PoolSizer, peaksOfSecondsMoveNothing)
+    {
+        Fleet fleet;
+        for (int second = 0; second < 7200; ++second) {
+            // Five times the mean of 40 for 12 s, a twentieth in between.
+            const bool peakA = second % 60 < 12;
+            const bool peakB = second % 60 >= 30 && second % 60 < 42;
+            fleet.second(peakA ? 200 : 2, peakB ? 200 : 2, 4);
+        }
+        EXPECT_EQ(fleet.moved, 0U);
+    }
+
+    TEST(PoolSizer, lastingGrowthTakesFromTheSparePoolAndReturns)
+    {
+        Fleet fleet;
+        for (int second = 0; second < 7200; ++second)
+            fleet.second(58, 40);
+        EXPECT_EQ(fleet.vmsOf("a").size(), 11U);
+        for (int second = 0; second < 7200; ++second)
+            fleet.second(30, 40);
+        EXPECT_LT(fleet.vmsOf("a").size(), 8U);
+    }
+
+    TEST(PoolSizer, weightsShiftTheRule)
+    {
+        const SizerSettings plain;
+        EXPECT_EQ(weighted(plain, {}).hold, plain.hold);
+        EXPECT_GT(weighted(plain, { 1, 2, 4, 1 }).hold, plain.hold);
+        EXPECT_GT(weighted(plain, { 4, 1, 1, 1 }).targetUse, plain.targetUse);
+        EXPECT_LT(weighted(plain, { 1, 1, 1, 4 }).targetUse, plain.targetUse);
+    }
+
+    // Guards against a pool below its lower bound, a VM moved twice in one step, and a move that starts elsewhere than
+    // the VM is.
+    RC_GTEST_PROP(PoolSizer, movesStartWhereTheVmIsAndKeepEveryLowerBound, ())
+    {
+        Fleet fleet;
+        const auto demands = *rc::gen::container<std::vector<std::pair<int, int>>>(
+            rc::gen::pair(rc::gen::inRange(0, 200), rc::gen::inRange(0, 200)));
+        for (const auto& [demandA, demandB] : demands) {
+            for (int second = 0; second < 120; ++second) {
+                const auto before = fleet.poolOf;
+                std::set<std::string> moved;
+                for (const auto& move : fleet.second(demandA, demandB, demandA % 30)) {
+                    RC_ASSERT(before.at(move.vm) == move.from);
+                    RC_ASSERT(move.from == "spare" || move.to == "spare");
+                    RC_ASSERT(moved.insert(move.vm).second);
+                }
+                for (const auto& [name, pool] : fleet.config.pools)
+                    RC_ASSERT(static_cast<int>(fleet.vmsOf(name).size()) >= pool.minVms);
+            }
+        }
+    }
+
+} // namespace
+} // namespace waxwinglug
