Return a VM to the spare pool only when it lacks VMs

A VM that idles in the spare pool absorbs no peak of its former pool, and the move itself costs roll-out time.

--- a/include/waxwinglug/pool-sizer.h
+++ b/include/waxwinglug/pool-sizer.h
@@ -20,7 +20,7 @@
     Duration hold { std::chrono::minutes(5) };
     // Part of the slots that the trend may fill.
     double targetUse = 0.7;
-    // A pool gives a VM back when it has this many more than it needs.
+    // A pool can give a VM back when it has this many more than it needs.
     double surplus = 1.5;
 };
 
@@ -50,7 +50,7 @@
     void setSettings(SizerSettings changed) { this->settings = changed; }
 
     // Takes one sample of every pool and returns the moves to make now: from the spare pool to pools that need more,
-    // and back to it. At most one move for a pool and call, and the wait starts anew after it.
+    // and back to it when it lacks VMs. At most one move for a pool and call, and the wait starts anew after it.
     std::vector<PoolMove> update(TimePoint now, const Config& config, const std::vector<PoolSample>& samples);
 
     // The smoothed demand of a pool in slots; nothing before its first sample.
--- a/src/process/pool-sizer.cpp
+++ b/src/process/pool-sizer.cpp
@@ -94,16 +94,28 @@
     const double own = std::ceil(state.trend / (this->settings.targetUse * reserve->slotsPerVm));
     const auto keep = std::max(static_cast<std::size_t>(spare->second.minVms), static_cast<std::size_t>(own));
     std::size_t taken = 0;
+    std::size_t unmet = 0;
+    const auto add = [&](std::string vm, const std::string& from, const std::string& to, const std::string& asked) {
+        moves.push_back({ std::move(vm), from, to });
+        auto& moved = this->states.at(asked);
+        moved.shortSince.reset();
+        moved.ampleSince.reset();
+    };
     for (const auto& [wish, sample] : wishes) {
-        if (wish == Wish::Take && reserve->vms.size() > keep + taken)
-            moves.push_back({ reserve->vms[taken++], spare->first, sample->pool });
-        else if (wish == Wish::Give)
-            moves.push_back({ sample->vms.front(), sample->pool, spare->first });
+        if (wish != Wish::Take)
+            continue;
+        if (reserve->vms.size() > keep + taken)
+            add(reserve->vms[taken++], spare->first, sample->pool, sample->pool);
         else
+            ++unmet;
+    }
+    // A VM that idles in the spare pool absorbs no peak, so a pool gives one only when the spare pool lacks it.
+    std::size_t lacking = unmet + (reserve->vms.size() < keep ? keep - reserve->vms.size() : 0);
+    for (const auto& [wish, sample] : wishes) {
+        if (wish != Wish::Give || lacking == 0)
             continue;
-        auto& moved = this->states.at(sample->pool);
-        moved.shortSince.reset();
-        moved.ampleSince.reset();
+        --lacking;
+        add(sample->vms.front(), sample->pool, spare->first, sample->pool);
     }
     return moves;
 }
