Add waxwingctl for documents, roll-outs and team keys

A key edit inserts or removes one line of the current document, so comments stay, and is applied as a new version. The key is printed as soon as the proposal is stored, so an interrupted wait for the roll-out does not lose it.

A new test covers a node that starts from peers during an outage. It fails when an unregistered node continues to grant, which the state-machine test did not detect.

--- a/include/waxwinglug/keys.h
+++ b/include/waxwinglug/keys.h
@@ -23,6 +23,12 @@
 /// The hash of a key in lower-case hexadecimal digits. Keys are random, so a fast hash without salt is sufficient.
 std::string hashKey(std::string_view key);
 
+/// Adds a key to a team in the text of a document; comments and order stay. Throws Error (Invalid) when the document
+/// has no such team or the team already has a key with this id.
+std::string addTeamKey(std::string_view document, std::string_view team, std::string_view id, std::string_view hash);
+/// Removes a key from a team in the text of a document. Throws Error (Invalid) when there is no such key.
+std::string withdrawTeamKey(std::string_view document, std::string_view team, std::string_view id);
+
 enum class KeyVerdict {
     Granted,
     WrongKey, // unknown team, or none of its keys
--- /dev/null
+++ b/src/bin/waxwingctl.cpp
@@ -0,0 +1,328 @@
+// The operators' tool: checks, plans and applies documents, shows the roll-out, and grants and withdraws keys.
+#include "io/process/platform-client.h"
+
+#include <waxwinglug/json.h>
+#include <waxwinglug/keys.h>
+#include <waxwinglug/rollout.h>
+
+#include <fmt/format.h>
+#include <getopt.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdio>
+#include <deque>
+#include <fstream>
+#include <mutex>
+#include <sstream>
+
+namespace {
+
+using namespace waxwinglug;
+
+constexpr const char* usage
+    = "usage: waxwingctl [--platform HOST:PORT] COMMAND\n"
+      "  check FILE                  check a document; needs no platform\n"
+      "  plan FILE                   list what the document would change\n"
+      "  apply FILE                  propose the document and wait until it is in force\n"
+      "  status                      show versions and the nodes that are waited for\n"
+      "  key add TEAM ID             generate a key, apply it, print it once\n"
+      "  key withdraw TEAM ID        withdraw a key\n"
+      "  abandon VERSION             end a proposal that is not accepted\n"
+      "options:\n"
+      "  --platform HOST:PORT        address of the platform\n"
+      "  --base VERSION              version that the document was made from; default: current\n"
+      "  --exclude DATA-CENTRE       do not wait for the nodes of this data centre; repeatable\n"
+      "  --wait SECONDS              longest wait for a roll-out, default 30\n"
+      "  --help                      show this text\n"
+      "exit codes: 0 ok, 2 usage, 3 invalid document, 4 unavailable, 5 conflict, 6 refused\n";
+
+struct Options {
+    std::optional<Endpoint> platform;
+    std::optional<std::uint64_t> base;
+    std::vector<std::string> excluded;
+    std::chrono::seconds wait { 30 };
+    bool help = false;
+    std::vector<std::string> words;
+};
+
+Error usageError(std::string_view problem) { return { ErrorKind::Usage, problem, "see waxwingctl --help" }; }
+
+std::int64_t number(std::string_view text, std::int64_t most)
+{
+    const auto value = parseInteger(text, 0, most);
+    if (!value)
+        throw usageError(fmt::format("'{}' is not a number from 0 to {}", text, most));
+    return *value;
+}
+
+Options parseOptions(int argc, char** argv)
+{
+    static const option known[]
+        = { { "platform", required_argument, nullptr, 'p' }, { "base", required_argument, nullptr, 'b' },
+              { "exclude", required_argument, nullptr, 'x' }, { "wait", required_argument, nullptr, 'w' },
+              { "help", no_argument, nullptr, 'h' }, { nullptr, 0, nullptr, 0 } };
+    Options options;
+    for (int choice = 0; (choice = getopt_long(argc, argv, "", known, nullptr)) != -1;) {
+        if (choice == 'p') {
+            options.platform = parseEndpoint(optarg);
+            if (!options.platform)
+                throw usageError(fmt::format("'{}' is not HOST:PORT with an IP address", optarg));
+        } else if (choice == 'b') {
+            options.base = static_cast<std::uint64_t>(number(optarg, INT64_MAX));
+        } else if (choice == 'x') {
+            options.excluded.emplace_back(optarg);
+        } else if (choice == 'w') {
+            options.wait = std::chrono::seconds(number(optarg, 86'400));
+        } else if (choice == 'h') {
+            options.help = true;
+        } else {
+            throw usageError("unknown option");
+        }
+    }
+    options.words.assign(argv + optind, argv + argc);
+    return options;
+}
+
+std::string readFile(const std::string& path)
+{
+    const std::ifstream file(path);
+    if (!file)
+        throw Error(ErrorKind::Invalid, fmt::format("cannot read {}", path), "check the path and its permissions");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+// Handlers of platform calls, run by the main thread.
+class Loop {
+public:
+    void post(std::function<void()> handler)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->handlers.push_back(std::move(handler));
+        this->wake.notify_one();
+    }
+
+    void runOnce(std::chrono::milliseconds most)
+    {
+        std::unique_lock lock(this->mutex);
+        this->wake.wait_for(lock, most, [this] { return !this->handlers.empty(); });
+        while (!this->handlers.empty()) {
+            const auto handler = std::move(this->handlers.front());
+            this->handlers.pop_front();
+            lock.unlock();
+            handler();
+            lock.lock();
+        }
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable wake;
+    std::deque<std::function<void()>> handlers;
+};
+
+class Tool {
+public:
+    explicit Tool(Options toolOptions)
+        : options(std::move(toolOptions))
+        , random((std::uint64_t { std::random_device()() } << 32U) | std::random_device()())
+        , client(this->options.platform.value(), [this](std::function<void()> handler) { this->loop.post(handler); })
+        , coordinator(this->client.platform(), systemClock(), this->random)
+    {
+    }
+
+    void plan(const std::string& document)
+    {
+        const auto current = this->current();
+        for (const auto& change : diffConfig(current.document, document)) {
+            static constexpr const char* names[] = { "added", "removed", "changed" };
+            fmt::print("{} [{}] {} '{}' -> '{}'\n", names[static_cast<int>(change.kind)], change.section, change.key,
+                change.before, change.after);
+        }
+        fmt::print("base version {}\n", current.version);
+    }
+
+    void apply(const std::string& document) { this->apply(document, this->current().version); }
+
+    void addKey(const std::string& team, const std::string& id)
+    {
+        const auto current = this->current();
+        const auto generated = generateKey();
+        const auto document = addTeamKey(current.document, team, id, generated.hash);
+        const auto version = this->propose(document, current.version);
+        // Printed before the wait, so that an interrupted wait does not lose the key.
+        fmt::print("{}\n", generated.key);
+        std::fflush(stdout);
+        this->waitInForce(version);
+    }
+
+    void withdrawKey(const std::string& team, const std::string& id)
+    {
+        const auto current = this->current();
+        this->apply(withdrawTeamKey(current.document, team, id), current.version);
+    }
+
+    void abandon(std::uint64_t version)
+    {
+        this->finish([&](auto done) { this->coordinator.abandon(version, done); });
+        fmt::print("version {} abandoned\n", version);
+    }
+
+    void showStatus()
+    {
+        static constexpr const char* states[] = { "open", "accepted", "abandoned" };
+        const auto status = this->status();
+        fmt::print("current version {}\n", status.current);
+        if (status.proposal)
+            fmt::print("proposal {} {}\n", status.proposal->version, states[static_cast<int>(status.proposal->state)]);
+        for (const auto& node : status.nodes)
+            fmt::print("node {} in {}: in force {}, held {}\n", node.name, node.dataCentre, node.inForce, node.held);
+        for (const auto& name : status.waitingFor)
+            fmt::print("waiting for {}\n", name);
+    }
+
+private:
+    struct Current {
+        std::uint64_t version = 0;
+        std::string document;
+    };
+
+    // Starts a call and runs the loop until its handler has stored a result.
+    template <typename T, typename Start> T wait(Start start)
+    {
+        const auto result = std::make_shared<std::optional<T>>();
+        start([result](T value) { *result = std::move(value); });
+        while (!*result)
+            this->loop.runOnce(std::chrono::milliseconds(100));
+        return std::move(**result);
+    }
+
+    template <typename T> static T available(std::optional<T> value)
+    {
+        if (!value)
+            throw Error(ErrorKind::Unavailable, "the platform does not answer", "check --platform or try again later");
+        return std::move(*value);
+    }
+
+    Current current()
+    {
+        using Rows = std::optional<std::vector<Row>>;
+        const auto rows = available(
+            this->wait<Rows>([&](auto done) { this->client.platform().table.read({ "config/current" }, done); }));
+        if (rows.at(0).version == 0)
+            return {};
+        const auto version = fromJson<Json>(rows.at(0).value).at("version").get<std::uint64_t>();
+        using Content = std::optional<std::string>;
+        return { version, available(this->wait<Content>([&](auto done) {
+                    this->client.platform().objects.get(fmt::format("config/{}", version), done);
+                })) };
+    }
+
+    RolloutStatus status()
+    {
+        return available(this->wait<std::optional<RolloutStatus>>([&](auto done) { this->coordinator.status(done); }));
+    }
+
+    template <typename Start> std::uint64_t finish(Start start)
+    {
+        using Outcome = std::pair<std::optional<Error>, std::uint64_t>;
+        const auto outcome = this->wait<Outcome>([&](auto done) {
+            start([done](std::optional<Error> error, std::uint64_t version) { done({ std::move(error), version }); });
+        });
+        if (outcome.first)
+            throw Error(*outcome.first);
+        return outcome.second;
+    }
+
+    std::uint64_t propose(const std::string& document, std::uint64_t base)
+    {
+        return this->finish([&](auto done) {
+            this->coordinator.propose(document, this->options.base.value_or(base), this->options.excluded, done);
+        });
+    }
+
+    void apply(const std::string& document, std::uint64_t base) { this->waitInForce(this->propose(document, base)); }
+
+    void waitInForce(std::uint64_t version)
+    {
+        const auto end = std::chrono::steady_clock::now() + this->options.wait;
+        RolloutStatus status;
+        while (std::chrono::steady_clock::now() < end) {
+            this->coordinator.tick();
+            status = this->status();
+            if (status.current >= version && status.notInForce.empty()) {
+                fmt::print("version {} in force\n", version);
+                return;
+            }
+            if (status.proposal && status.proposal->version == version
+                && status.proposal->state == ProposalState::Abandoned)
+                throw Error(ErrorKind::Conflict, fmt::format("version {} was abandoned", version), "see the status");
+            this->loop.runOnce(std::chrono::milliseconds(100));
+        }
+        const auto& names = status.current >= version ? status.notInForce : status.waitingFor;
+        throw Error(ErrorKind::Unavailable,
+            fmt::format("version {} is {}, waiting for {}", version,
+                status.current >= version ? "accepted but not in force everywhere" : "proposed but not accepted",
+                fmt::join(names, ", ")),
+            "see the status, exclude a data centre or abandon the version");
+    }
+
+    Options options;
+    Random random;
+    Loop loop;
+    io::PlatformClient client;
+    RolloutCoordinator coordinator;
+};
+
+void run(const Options& options)
+{
+    const auto& words = options.words;
+    const auto command = words.empty() ? std::string() : words[0];
+    const auto is = [&](std::string_view name, std::size_t count) { return command == name && words.size() == count; };
+    const bool key = is("key", 4) && (words[1] == "add" || words[1] == "withdraw");
+    if (!is("check", 2) && !is("plan", 2) && !is("apply", 2) && !is("status", 1) && !is("abandon", 2) && !key)
+        throw usageError("unknown command or wrong number of arguments");
+    std::string document;
+    if (is("check", 2) || is("plan", 2) || is("apply", 2)) {
+        document = readFile(words[1]);
+        parseConfig(document, words[1]);
+        if (command == "check") {
+            fmt::print("{}: no problems\n", words[1]);
+            return;
+        }
+    }
+    if (!options.platform)
+        throw usageError("--platform is missing");
+    Tool tool(options);
+    if (command == "plan")
+        tool.plan(document);
+    else if (command == "apply")
+        tool.apply(document);
+    else if (command == "status")
+        tool.showStatus();
+    else if (command == "abandon")
+        tool.abandon(static_cast<std::uint64_t>(number(words[1], INT64_MAX)));
+    else if (words[1] == "add")
+        tool.addKey(words[2], words[3]);
+    else
+        tool.withdrawKey(words[2], words[3]);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        const auto options = parseOptions(argc, argv);
+        if (options.help)
+            fmt::print("{}", usage);
+        else
+            run(options);
+    } catch (const Error& error) {
+        fmt::print(stderr, "waxwingctl: {}\n", error.what());
+        return exitCode(error.kind());
+    }
+    return 0;
+}
--- a/test/io/platform-client-test.cpp
+++ b/test/io/platform-client-test.cpp
@@ -1,9 +1,7 @@
 // Tests of the platform client against the stand-in platform and against servers that fail.
 #include "io/process/platform-client.h"
 
-#include <waxwinglug/json.h>
-
-#include "cxxtools/http-client.h"
+#include "support/standin-process.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,15 +12,8 @@
 
 #include <atomic>
 #include <chrono>
-#include <csignal>
-#include <cstdio>
 #include <future>
-#include <spawn.h>
-#include <sys/wait.h>
 #include <thread>
-#include <unistd.h>
-
-extern char** environ;
 
 namespace waxwinglug::io {
 namespace {
@@ -30,54 +21,7 @@
     using namespace std::chrono_literals;
     using boost::asio::ip::tcp;
 
-    // A stand-in platform in a process of its own.
-    class Standin {
-    public:
-        Standin()
-        {
-            int ends[2] = { -1, -1 };
-            EXPECT_EQ(pipe(ends), 0);
-            posix_spawn_file_actions_t actions;
-            posix_spawn_file_actions_init(&actions);
-            posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-            posix_spawn_file_actions_addclose(&actions, ends[0]);
-            std::string program = WAXWINGLUG_BUILD_DIR "/test/standin-platform";
-            std::string option = "--port=0";
-            char* arguments[] = { program.data(), option.data(), nullptr };
-            EXPECT_EQ(posix_spawn(&this->process, program.c_str(), &actions, nullptr, arguments, environ), 0);
-            posix_spawn_file_actions_destroy(&actions);
-            close(ends[1]);
-            FILE* const output = fdopen(ends[0], "r");
-            unsigned number = 0;
-            EXPECT_EQ(std::fscanf(output, "listening on 127.0.0.1:%u", &number), 1);
-            std::fclose(output);
-            this->address = { "127.0.0.1", static_cast<std::uint16_t>(number) };
-        }
-
-        ~Standin() { EXPECT_EQ(this->stop(), 0); }
-
-        int stop()
-        {
-            if (this->process <= 0)
-                return 0;
-            int status = 0;
-            kill(this->process, SIGTERM);
-            waitpid(this->process, &status, 0);
-            this->process = 0;
-            return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-        }
-
-        void control(const std::string& path, const Json& body) const
-        {
-            detail::HttpClient client(this->address.host, this->address.port);
-            EXPECT_EQ(client.call("POST", path, body.dump(), 2s, false).status, 200);
-        }
-
-        Endpoint address;
-
-    private:
-        pid_t process = 0;
-    };
+    using Standin = test::StandinPlatformProcess;
 
     // Calls a hook and waits for what its handler gets.
     template <typename T, typename Start> T wait(Start start)
--- a/test/version/keys-test.cpp
+++ b/test/version/keys-test.cpp
@@ -68,6 +68,19 @@
         EXPECT_EQ(keys.size(), 100U);
     }
 
+    // Guards against an edit that changes another team, loses comments, or removes the wrong key.
+    TEST(TeamKeys, addingAndWithdrawingEditOnlyTheTeam)
+    {
+        const std::string before = "# note\n[team a]\nkey = k1:aa\n[team b]\n# kept\nkey = k1:bb\nlimit = 3\n";
+        const auto added = addTeamKey(before, "b", "k2", "cc");
+        EXPECT_EQ(added, "# note\n[team a]\nkey = k1:aa\n[team b]\nkey = k2:cc\n# kept\nkey = k1:bb\nlimit = 3\n");
+        EXPECT_EQ(withdrawTeamKey(added, "b", "k2"), before);
+        EXPECT_EQ(withdrawTeamKey(before, "b", "k1"), "# note\n[team a]\nkey = k1:aa\n[team b]\n# kept\nlimit = 3\n");
+        EXPECT_THROW(addTeamKey(before, "b", "k1", "cc"), Error);
+        EXPECT_THROW(addTeamKey(before, "c", "k1", "cc"), Error);
+        EXPECT_THROW(withdrawTeamKey(before, "b", "k"), Error);
+    }
+
     // Guards against a comparison that stops at the first match or ignores part of the hash.
     RC_GTEST_PROP(KeyRing, anAlteredKeyIsRejected, (std::size_t position, char character))
     {
--- a/test/version/rollout-test.cpp
+++ b/test/version/rollout-test.cpp
@@ -128,6 +128,25 @@
         EXPECT_EQ(world.nodes[2]->follower->versions().inForce, 2U);
     }
 
+    // Guards against a node without a row that continues to grant: its former process may have acknowledged a version
+    // that was accepted since.
+    TEST(Rollout, aNodeStartedFromPeersGrantsOnlyWhileTheyConfirm)
+    {
+        World world(std::vector<Isolation>(3, Isolation::Serve));
+        const auto keys = [&world] {
+            const auto granted = world.nodes[2]->follower->granted()->at(world.clock.now());
+            return granted->teams.empty() ? 0 : granted->teams.at("n").keys.size();
+        };
+        world.fake.down = true;
+        world.start(2);
+        EXPECT_EQ(keys(), 0U);
+        world.settle();
+        EXPECT_EQ(keys(), 4U);
+        world.nodes[2]->cutFromPeers = true;
+        world.settle();
+        EXPECT_EQ(keys(), 0U);
+    }
+
     // Guards against acceptance without a node that did not answer, and against a status that does not name it.
     TEST(Rollout, acceptanceWaitsForASilentNodeAndNamesIt)
     {
