Serve callers through to backend servers with the configuration in force

The entry daemon joins the parts: gateway on traffic threads, dispatcher per service, repeat guard, allotments, VM view and configuration follower on the control thread.

An attempt is sent through a gate that either the traffic thread opens or the control thread closes.

A connection limit and a withdrawn call are reported apart from a refused connection: only the latter is evidence that a server leaves.

--- a/include/waxwinglug/settings.h
+++ b/include/waxwinglug/settings.h
@@ -4,6 +4,7 @@
 #include <waxwinglug/base.h>
 #include <waxwinglug/error.h>
 #include <waxwinglug/ini.h>
+#include <waxwinglug/rollout.h>
 
 #include <cstdint>
 #include <span>
@@ -13,12 +14,6 @@
 
 namespace waxwinglug {
 
-// What an entry VM does while it hears from neither the platform nor its peers.
-enum class Isolation {
-    Serve, // go on with the configuration in force
-    Stop, // refuse keyed work
-};
-
 struct EntrySettings {
     std::string name;
     std::string dataCentre;
--- /dev/null
+++ b/src/io/connection/gateway.cpp
@@ -0,0 +1,158 @@
+// Checks and answers that need no control state.
+#include "io/connection/gateway.h"
+
+#include <algorithm>
+
+namespace waxwinglug::io {
+namespace {
+
+    std::vector<HeaderField> viewHeaders(const HttpHeaders& headers)
+    {
+        std::vector<HeaderField> fields;
+        fields.reserve(headers.size());
+        for (const auto& [name, value] : headers)
+            fields.push_back({ name, value });
+        return fields;
+    }
+
+    // The service in a target of the form /q/<service>/<rest>; empty for another form.
+    std::string_view serviceOf(std::string_view target)
+    {
+        constexpr std::string_view prefix = "/q/";
+        if (!target.starts_with(prefix))
+            return {};
+        target.remove_prefix(prefix.size());
+        return target.substr(0, target.find_first_of("/?"));
+    }
+
+    // Returns the team to charge. Throws RefusalError when the rights do not grant the work.
+    std::string authorize(const Rights& rights, const CallerRequest& caller)
+    {
+        switch (rights.ring.check(caller.team, caller.key, caller.service)) {
+        case KeyVerdict::Granted:
+            break;
+        case KeyVerdict::UnknownService:
+            throw RefusalError(Refusal::UnknownQueue, "there is no queue with this name");
+        case KeyVerdict::WrongKey:
+        case KeyVerdict::ServiceNotGranted:
+            throw RefusalError(Refusal::BadKey, "the key does not grant this queue to the team");
+        }
+        // A team name without its key must not be charged to the team.
+        return rights.ring.authenticate(caller.team, caller.key) ? caller.team : std::string(openTeam);
+    }
+
+    Refusal refusalForStatus(int status)
+    {
+        switch (status) {
+        case 413:
+            return Refusal::BodyTooLarge;
+        case 431:
+            return Refusal::HeaderTooLarge;
+        case 408:
+            return Refusal::ShortBody;
+        default:
+            return Refusal::BadFraming;
+        }
+    }
+
+} // namespace
+
+HttpResponse toResponse(const ErrorAnswer& answer, std::string_view requestId)
+{
+    HttpResponse response { answer.httpStatus, {}, answer.body };
+    response.headers.emplace_back("Content-Type", "application/json");
+    response.headers.emplace_back("Waxwing-Outcome", std::string(outcomeText(answer.outcome)));
+    if (!requestId.empty())
+        response.headers.emplace_back("Waxwing-Request-Id", std::string(requestId));
+    return response;
+}
+
+void markAnswered(HttpResponse& response, std::string_view requestId)
+{
+    // A backend server cannot speak for this header.
+    std::erase_if(response.headers, [](const auto& header) { return header.first.starts_with("Waxwing-"); });
+    response.headers.emplace_back("Waxwing-Outcome", std::string(outcomeText(Outcome::Answered)));
+    response.headers.emplace_back("Waxwing-Request-Id", std::string(requestId));
+}
+
+Gateway::Gateway(Clock gatewayClock, std::uint64_t limit, Metrics& registry, GatewayHooks gatewayHooks)
+    : clock(std::move(gatewayClock))
+    , bodyLimit(limit)
+    , metrics(registry)
+    , hooks(std::move(gatewayHooks))
+{
+}
+
+CallerHooks Gateway::callerHooks()
+{
+    return {
+        [this](std::string_view target) { return this->bodyLimitFor(target); },
+        [this](HttpRequest request, const Respond& respond) { return this->handle(std::move(request), respond); },
+        [this](int status, std::string_view problem, std::string_view) { return this->reject(status, problem); },
+    };
+}
+
+std::uint64_t Gateway::bodyLimitFor(std::string_view target) const
+{
+    const auto rights = this->rights();
+    if (!rights)
+        return this->bodyLimit;
+    const auto found = rights->config->services.find(serviceOf(target));
+    if (found == rights->config->services.end())
+        return this->bodyLimit;
+    return std::min(this->bodyLimit, found->second.bodyLimit);
+}
+
+std::function<void()> Gateway::handle(HttpRequest request, const Respond& respond)
+{
+    try {
+        auto exchange = this->check(std::move(request));
+        exchange->respond = respond;
+        this->hooks.accept(exchange);
+        return [this, exchange] { this->hooks.cancel(exchange); };
+    } catch (const RefusalError& error) {
+        respond(this->refuse(error));
+        return {};
+    }
+}
+
+std::shared_ptr<Exchange> Gateway::check(HttpRequest request)
+{
+    const auto fields = viewHeaders(request.headers);
+    auto exchange = std::make_shared<Exchange>();
+    exchange->receivedAt = this->clock.now();
+    exchange->caller = parseCallerRequest(request.method, request.target, fields);
+    this->authorize(*exchange);
+    exchange->request = std::move(request);
+    return exchange;
+}
+
+void Gateway::authorize(Exchange& exchange) const
+{
+    const auto rights = this->rights();
+    if (!rights)
+        throw RefusalError(Refusal::NoCapacity, "this entry VM has no configuration yet");
+    exchange.team = io::authorize(*rights, exchange.caller);
+    const auto& service = rights->config->services.find(exchange.caller.service)->second;
+    exchange.workClass = service.workClass;
+    exchange.deadline = exchange.receivedAt + exchange.caller.deadline.value_or(service.deadline);
+}
+
+HttpResponse Gateway::refuse(const RefusalError& error)
+{
+    this->metrics.refuse(error.refusal());
+    std::string_view problem = error.what();
+    problem = problem.substr(0, problem.find(';'));
+    return toResponse(refusalAnswer(error.refusal(), {}, problem), {});
+}
+
+HttpResponse Gateway::reject(int status, std::string_view problem)
+{
+    const auto refusal = refusalForStatus(status);
+    this->metrics.refuse(refusal);
+    auto answer = refusalAnswer(refusal, {}, problem);
+    answer.httpStatus = status;
+    return toResponse(answer, {});
+}
+
+} // namespace waxwinglug::io
--- /dev/null
+++ b/src/io/process/entry-control.cpp
@@ -0,0 +1,357 @@
+// Control state of the entry daemon.
+#include "io/process/entry-control.h"
+
+#include "io/connection/gateway.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+
+namespace waxwinglug::io {
+namespace {
+
+    std::uint64_t randomNumber()
+    {
+        std::uint64_t number = 0;
+        randombytes_buf(&number, sizeof number);
+        return number;
+    }
+
+    std::string teamResource(std::string_view team) { return std::string("team/").append(team); }
+
+    AttemptReport toReport(const BackendResult& result)
+    {
+        switch (result.kind) {
+        case BackendResult::Kind::Refused:
+            return AttemptReport::Refused;
+        case BackendResult::Kind::NotSent:
+            return AttemptReport::NotSent;
+        case BackendResult::Kind::Withdrawn:
+            return AttemptReport::Withdrawn;
+        case BackendResult::Kind::Broken:
+            return AttemptReport::Broken;
+        case BackendResult::Kind::Overdue:
+            return AttemptReport::Overdue;
+        case BackendResult::Kind::Answered:
+            break;
+        }
+        if (result.response.status == 503 && findHeader(result.response.headers, "Waxwing-Draining") == "yes")
+            return AttemptReport::Draining;
+        return result.response.status >= 500 ? AttemptReport::ServerError : AttemptReport::Answered;
+    }
+
+    // The request as a backend server gets it. The key stays here.
+    HttpRequest backendRequest(const Exchange& exchange)
+    {
+        HttpRequest request { exchange.request.method, exchange.caller.rest, {}, exchange.request.body };
+        for (const auto& header : exchange.request.headers) {
+            if (!header.first.starts_with("Waxwing-") && !header.first.starts_with("waxwing-"))
+                request.headers.push_back(header);
+        }
+        request.headers.emplace_back("Waxwing-Request-Id", exchange.id.text());
+        request.headers.emplace_back("Waxwing-Team", exchange.team);
+        return request;
+    }
+
+} // namespace
+
+EntryControl::EntryControl(const EntrySettings& entrySettings, const NodeId& node, Clock controlClock,
+    Platform hooksOfPlatform, Metrics& registry, EntryControlHooks controlHooks)
+    : settings(entrySettings)
+    , clock(std::move(controlClock))
+    , self(node)
+    , platform(std::move(hooksOfPlatform))
+    , metrics(registry)
+    , hooks(std::move(controlHooks))
+    , log("entry", clock)
+    , allotments(self, {}, clock, platform.table,
+          { [this](const NodeId& other) { return this->isGone(other); }, hooks.sendUnitRequest, hooks.sendUnitLoan })
+    , vms(platform.table, entrySettings.dataCentre,
+          [this] {
+              std::vector<std::string> names;
+              for (const auto& [name, vm] : this->config->vms) {
+                  if (vm.dataCentre == this->settings.dataCentre)
+                      names.push_back(name);
+              }
+              return names;
+          })
+    , guard(self, clock, platform.table, randomNumber, guardHooks())
+    , random(randomNumber())
+{
+    this->vms.onChange = [this](const std::string& vm, const VmRow&) { this->applyVmRow(vm); };
+}
+
+RepeatGuardHooks EntryControl::guardHooks()
+{
+    RepeatGuardHooks result;
+    result.run = [this](const std::shared_ptr<Exchange>& exchange) { this->submit(exchange); };
+    result.refuse = [this](const Exchange& exchange, Refusal refusal) { this->refuse(exchange, refusal); };
+    result.resolveAtHome = this->hooks.resolveAtHome;
+    result.after = this->hooks.after;
+    result.claimsWhenDown = [this](const std::string& service) {
+        const auto found = this->config->services.find(service);
+        return found == this->config->services.end() ? ClaimsWhenDown::Refuse : found->second.claimsWhenDown;
+    };
+    return result;
+}
+
+DispatcherHooks EntryControl::dispatcherHooks(const std::string& service)
+{
+    DispatcherHooks result;
+    result.send = [this, service](const Attempt& attempt) { this->send(service, attempt); };
+    result.ended = [this, service](WorkHandle work, Outcome outcome, std::optional<Refusal> refusal) {
+        this->ended(service, work, outcome, refusal);
+    };
+    result.hasFreeUnit = [this](std::string_view team) {
+        return team == openTeam || this->allotments.holdsFreeUnit(teamResource(team));
+    };
+    result.unitTaken = [this](std::string_view team) {
+        if (team != openTeam)
+            this->allotments.acquire(teamResource(team));
+    };
+    result.unitReturned = [this](std::string_view team) {
+        if (team != openTeam)
+            this->allotments.release(teamResource(team));
+    };
+    result.after = this->hooks.after;
+    return result;
+}
+
+EntryControl::ServiceState& EntryControl::serviceState(const Service& service)
+{
+    auto& state = this->services[service.name];
+    if (!state.dispatcher) {
+        state.slotResource = "slots/" + this->settings.dataCentre + '/' + service.name;
+        state.dispatcher = std::make_shared<Dispatcher>(
+            service, 0, this->clock, this->random(), this->dispatcherHooks(service.name));
+    }
+    state.dispatcher->setService(service);
+    return state;
+}
+
+void EntryControl::applyConfig(std::shared_ptr<const Config> accepted)
+{
+    this->config = std::move(accepted);
+    for (const auto& [name, team] : this->config->teams)
+        this->allotments.setLimit(teamResource(name), team.limit, this->config->version);
+    for (const auto& [name, service] : this->config->services) {
+        auto& state = this->serviceState(service);
+        std::vector<TeamShare> shares;
+        for (const auto& [teamName, team] : this->config->teams) {
+            if (std::find(team.services.begin(), team.services.end(), name) != team.services.end())
+                shares.push_back({ teamName, team.share });
+        }
+        if (service.open)
+            shares.push_back({ std::string(openTeam), 0 });
+        state.dispatcher->setTeams(shares);
+        this->setBackends(name, state);
+    }
+    this->vms.readAll();
+    this->log.info("Configuration in force.", { { "version", this->config->version } });
+}
+
+void EntryControl::setBackends(const std::string& service, ServiceState& state)
+{
+    std::vector<BackendSpec> specs;
+    int slots = 0;
+    for (const auto& [name, vm] : this->config->vms) {
+        if (vm.dataCentre != this->settings.dataCentre)
+            continue;
+        const auto* row = this->vms.find(name);
+        const auto& pool = row ? row->pool : vm.pool;
+        const auto found = this->config->pools.find(pool);
+        if (found == this->config->pools.end() || found->second.service != service)
+            continue;
+        specs.push_back({ name, pool, vm.rack, vm.address, vm.slots, vm.connections });
+        slots += vm.slots;
+    }
+    auto& backends = state.dispatcher->backends();
+    backends.setBackends(specs);
+    for (const auto& spec : specs) {
+        const auto* row = this->vms.find(spec.vm);
+        backends.setHeld(spec.vm, row && row->phase != VmPhase::Serving && row->phase != VmPhase::SlowStart);
+    }
+    state.slots = slots;
+    this->allotments.setLimit(state.slotResource, slots, this->config->version);
+}
+
+void EntryControl::applyVmRow(const std::string& vm)
+{
+    // A move changes two services, and rows change a few times a minute, so all services are set again.
+    for (auto& [name, state] : this->services)
+        this->setBackends(name, state);
+    this->log.info("VM row changed.", { { "vm", vm } });
+}
+
+void EntryControl::applyVmList(const std::vector<VmStatus>& list)
+{
+    this->listed.clear();
+    for (const auto& status : list)
+        this->listed.emplace(status.name, status);
+    for (auto& [name, state] : this->services)
+        state.dispatcher->backends().applyVmList(list);
+}
+
+bool EntryControl::isGone(const NodeId& node) const
+{
+    // A process binds the ports of its VM before it says anything, so an earlier one of the same name has ended.
+    if (node.name == this->self.name)
+        return node.incarnation < this->self.incarnation;
+    if (this->hooks.newerIncarnation(node))
+        return true;
+    const auto found = this->listed.find(node.name);
+    return found != this->listed.end() && found->second.state == VmState::Gone;
+}
+
+void EntryControl::accept(const std::shared_ptr<Exchange>& exchange) { this->guard.admit(exchange); }
+
+void EntryControl::submit(const std::shared_ptr<Exchange>& exchange)
+{
+    const auto found = this->services.find(exchange->caller.service);
+    if (found == this->services.end()) {
+        this->guard.ended(exchange, Outcome::NotRun, Refusal::UnknownQueue);
+        return;
+    }
+    auto& state = found->second;
+    const auto submitted = state.dispatcher->submit(
+        { exchange->id, exchange->team, exchange->workClass, exchange->caller.idempotent, exchange->deadline });
+    if (submitted.refusal) {
+        this->guard.ended(exchange, Outcome::NotRun, *submitted.refusal);
+        return;
+    }
+    exchange->work = submitted.work;
+    state.exchanges.emplace(submitted.work, exchange);
+    state.dispatcher->pump();
+}
+
+void EntryControl::cancel(const std::shared_ptr<Exchange>& exchange)
+{
+    const auto found = this->services.find(exchange->caller.service);
+    if (found != this->services.end() && exchange->work != 0)
+        found->second.dispatcher->cancel(exchange->work, Refusal::NoCapacity);
+}
+
+void EntryControl::tick(int liveEntryVms)
+{
+    this->allotments.tick();
+    this->guard.tick(liveEntryVms);
+    for (auto& [name, state] : this->services) {
+        auto& queue = state.dispatcher->queue();
+        this->allotments.setWaiting(state.slotResource, static_cast<int>(queue.waiting()));
+        state.dispatcher->setSlots(this->allotments.held(state.slotResource));
+        state.dispatcher->backends().tick();
+        state.dispatcher->pump();
+    }
+    if (!this->config)
+        return;
+    for (const auto& [team, settingsOfTeam] : this->config->teams) {
+        std::size_t waiting = 0;
+        for (const auto& [name, state] : this->services)
+            waiting += state.dispatcher->queue().waiting(team);
+        this->allotments.setWaiting(teamResource(team), static_cast<int>(waiting));
+    }
+}
+
+void EntryControl::pollPlatform()
+{
+    if (this->config)
+        this->vms.poll();
+    if (this->listing)
+        return;
+    this->listing = true;
+    this->platform.vms.list([this](std::optional<std::vector<VmStatus>> list) {
+        this->listing = false;
+        if (list)
+            this->applyVmList(*list);
+    });
+}
+
+void EntryControl::endAll(Refusal reason)
+{
+    for (auto& [name, state] : this->services) {
+        std::vector<WorkHandle> handles;
+        handles.reserve(state.exchanges.size());
+        for (const auto& [work, exchange] : state.exchanges)
+            handles.push_back(work);
+        for (const auto work : handles)
+            state.dispatcher->cancel(work, reason);
+    }
+}
+
+std::size_t EntryControl::openRequests() const
+{
+    std::size_t open = 0;
+    for (const auto& [name, state] : this->services)
+        open += state.dispatcher->open();
+    return open;
+}
+
+void EntryControl::send(const std::string& service, const Attempt& attempt)
+{
+    const auto& exchange = this->services.at(service).exchanges.at(attempt.work);
+    BackendCall call;
+    call.server = attempt.server->address;
+    call.request = backendRequest(*exchange);
+    call.idempotent = attempt.idempotent;
+    call.answerTimeout = attempt.answerTimeout;
+    this->hooks.call(
+        std::move(call), [gate = attempt.gate] { return gate->open(); },
+        [this, service, work = attempt.work, number = attempt.number](
+            BackendResult result) { this->attemptEnded(service, work, number, std::move(result)); });
+}
+
+void EntryControl::attemptEnded(const std::string& service, WorkHandle work, int attempt, BackendResult result)
+{
+    auto& state = this->services.at(service);
+    const auto report = toReport(result);
+    if (report != AttemptReport::Answered)
+        this->log.warning("Attempt failed.",
+            { { "service", service }, { "reason", result.problem }, { "status", result.response.status } });
+    const auto verdict = state.dispatcher->attemptEnded(work, attempt, report);
+    if (verdict.deliver) {
+        const auto exchange = state.exchanges.at(work);
+        state.exchanges.erase(work);
+        markAnswered(result.response, exchange->id.text());
+        this->metrics.record(exchange->team, exchange->workClass,
+            { verdict.wait, verdict.run, this->clock.now() - exchange->receivedAt });
+        this->guard.answered(*exchange, result.response);
+        exchange->respond(std::move(result.response));
+    }
+    state.dispatcher->pump();
+}
+
+void EntryControl::ended(const std::string& service, WorkHandle work, Outcome outcome, std::optional<Refusal> refusal)
+{
+    auto& exchanges = this->services.at(service).exchanges;
+    const auto exchange = exchanges.at(work);
+    exchanges.erase(work);
+    this->guard.ended(exchange, outcome, refusal.value_or(Refusal::NoCapacity));
+}
+
+void EntryControl::refuse(const Exchange& exchange, Refusal refusal)
+{
+    this->metrics.refuse(refusal);
+    const auto id = exchange.id.text();
+    exchange.respond(toResponse(refusalAnswer(refusal, id), id));
+}
+
+Json EntryControl::status() const
+{
+    Json status = { { "node", this->settings.name }, { "dataCentre", this->settings.dataCentre },
+        { "version", this->config ? this->config->version : 0 }, { "openRequests", this->openRequests() } };
+    for (const auto& [name, state] : this->services) {
+        status["services"][name] = { { "waiting", state.dispatcher->queue().waiting() },
+            { "slots", this->allotments.held(state.slotResource) },
+            { "occupied", state.dispatcher->queue().occupiedSlots() } };
+    }
+    if (this->config) {
+        for (const auto& [name, team] : this->config->teams) {
+            const auto resource = teamResource(name);
+            status["teams"][name] = { { "units", this->allotments.held(resource) },
+                { "running", this->allotments.running(resource) }, { "limit", team.limit } };
+        }
+    }
+    return status;
+}
+
+} // namespace waxwinglug::io
--- /dev/null
+++ b/src/io/request/repeat-guard.cpp
@@ -0,0 +1,174 @@
+// Joins the request ledger and the claims of Idempotency-Keys with the requests of the entry daemon.
+#include "io/request/repeat-guard.h"
+
+#include "io/connection/gateway.h"
+
+namespace waxwinglug::io {
+namespace {
+
+    // While the table is down a claim cannot be removed; the caller is then told that the outcome is unknown.
+    constexpr Duration longestRelease { 2000 };
+    constexpr Duration expiryInterval { 1000 };
+
+    void respondUnknown(const Exchange& exchange, const RequestId& id)
+    {
+        exchange.respond(toResponse(unknownAnswer(id.text()), id.text()));
+    }
+
+    void respondStored(const Exchange& exchange, const RequestId& id, const StoredAnswer& answer)
+    {
+        HttpResponse response { answer.httpStatus, {}, answer.body };
+        if (!answer.contentType.empty())
+            response.headers.emplace_back("Content-Type", answer.contentType);
+        markAnswered(response, id.text());
+        exchange.respond(std::move(response));
+    }
+
+} // namespace
+
+RepeatGuard::RepeatGuard(const NodeId& node, Clock guardClock, Table table, std::function<std::uint64_t()> random,
+    RepeatGuardHooks guardHooks)
+    : self(node)
+    , clock(std::move(guardClock))
+    , hooks(std::move(guardHooks))
+    , ledger(RequestIdSource(node, random), {}, this->clock)
+    , claims(std::move(table), this->clock, {}, random)
+{
+}
+
+void RepeatGuard::admit(const std::shared_ptr<Exchange>& exchange)
+{
+    if (!exchange->caller.requestId) {
+        this->beginNew(exchange);
+        return;
+    }
+    const auto id = *exchange->caller.requestId;
+    exchange->id = id;
+    if (id.home != this->self) {
+        this->resolveKnown(exchange, id);
+        return;
+    }
+    const auto resolved = this->ledger.begin(id, exchange->team);
+    if (resolved.resolution == RequestLedger::Resolution::Run)
+        this->hooks.run(exchange);
+    else
+        this->resolveKnown(exchange, id);
+}
+
+void RepeatGuard::beginNew(const std::shared_ptr<Exchange>& exchange)
+{
+    exchange->id = this->ledger.issue(exchange->team);
+    this->ledger.begin(exchange->id, exchange->team);
+    if (exchange->caller.idempotencyKey.empty())
+        this->hooks.run(exchange);
+    else
+        this->claim(exchange);
+}
+
+void RepeatGuard::claim(const std::shared_ptr<Exchange>& exchange)
+{
+    this->claims.claim(exchange->team, exchange->caller.idempotencyKey, exchange->id,
+        this->hooks.claimsWhenDown(exchange->caller.service),
+        [this, exchange](const ClaimResult& result) { this->onClaim(exchange, result); });
+}
+
+void RepeatGuard::onClaim(const std::shared_ptr<Exchange>& exchange, const ClaimResult& result)
+{
+    switch (result.kind) {
+    case ClaimResult::Kind::Granted:
+    case ClaimResult::Kind::HomeOnly:
+        this->hooks.run(exchange);
+        return;
+    case ClaimResult::Kind::Refused:
+        this->ledger.finish(exchange->id, Outcome::NotRun);
+        this->hooks.refuse(*exchange, Refusal::StoreUnavailable);
+        return;
+    case ClaimResult::Kind::Elsewhere:
+        this->ledger.finish(exchange->id, Outcome::NotRun);
+        this->resolveKnown(exchange, *result.holder);
+        return;
+    }
+}
+
+void RepeatGuard::resolveKnown(const std::shared_ptr<Exchange>& exchange, const RequestId& id)
+{
+    if (id.home != this->self) {
+        this->hooks.resolveAtHome(id, exchange->team, [exchange, id](std::optional<RemoteResolution> remote) {
+            if (remote && remote->answer)
+                respondStored(*exchange, id, *remote->answer);
+            else
+                respondUnknown(*exchange, id);
+        });
+        return;
+    }
+    const auto resolved = this->ledger.resolve(id, exchange->team);
+    if (resolved.answer)
+        respondStored(*exchange, id, *resolved.answer);
+    else if (resolved.resolution == RequestLedger::Resolution::Running)
+        this->waiters[id].push_back(exchange);
+    else
+        respondUnknown(*exchange, id);
+}
+
+void RepeatGuard::answered(const Exchange& exchange, const HttpResponse& response)
+{
+    // An idempotent request may run again under its id, so its answer is not kept.
+    if (exchange.caller.idempotent && exchange.caller.idempotencyKey.empty()) {
+        this->ledger.finish(exchange.id, Outcome::NotRun);
+    } else {
+        this->ledger.finish(exchange.id, Outcome::Answered,
+            { response.status, std::string(findHeader(response.headers, "Content-Type")), response.body });
+    }
+    this->wake(exchange.id);
+}
+
+void RepeatGuard::ended(const std::shared_ptr<Exchange>& exchange, Outcome outcome, Refusal refusal)
+{
+    const auto id = exchange->id;
+    this->ledger.finish(id, outcome);
+    this->wake(id);
+    if (outcome != Outcome::NotRun) {
+        respondUnknown(*exchange, id);
+        return;
+    }
+    if (exchange->caller.idempotencyKey.empty()) {
+        this->hooks.refuse(*exchange, refusal);
+        return;
+    }
+    // Only the first of the two answers counts.
+    this->claims.release(id, [this, exchange, refusal] { this->hooks.refuse(*exchange, refusal); });
+    this->hooks.after(longestRelease, [exchange, id] { respondUnknown(*exchange, id); });
+}
+
+void RepeatGuard::wake(const RequestId& id)
+{
+    const auto found = this->waiters.find(id);
+    if (found == this->waiters.end())
+        return;
+    const auto waiting = std::move(found->second);
+    this->waiters.erase(found);
+    for (const auto& exchange : waiting)
+        this->resolveKnown(exchange, id);
+}
+
+RemoteResolution RepeatGuard::resolve(const RequestId& id, std::string_view team) const
+{
+    const auto resolved = this->ledger.resolve(id, team);
+    RemoteResolution remote { resolved.resolution, std::nullopt };
+    if (resolved.answer)
+        remote.answer = *resolved.answer;
+    return remote;
+}
+
+void RepeatGuard::tick(int liveEntryVms)
+{
+    this->claims.tick(liveEntryVms);
+    const auto now = this->clock.now();
+    if (now < this->nextExpiry)
+        return;
+    this->nextExpiry = now + expiryInterval;
+    this->ledger.expire();
+    this->claims.sweep();
+}
+
+} // namespace waxwinglug::io
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -152,8 +152,8 @@
     }
     detail::appendHead(text, "waxwing_refused_total", "Requests that were refused and did not run.", "counter");
     for (std::size_t i = 0; i < refusalKinds; ++i)
-        text += fmt::format(
-            "waxwing_refused_total{{kind=\"{}\"}} {}\n", refusalInfo(static_cast<Refusal>(i)).name, this->refusals[i].value());
+        text += fmt::format("waxwing_refused_total{{kind=\"{}\"}} {}\n", refusalInfo(static_cast<Refusal>(i)).name,
+            this->refusals[i].value());
     const std::lock_guard lock(this->namedMutex);
     for (const auto& [name, named] : this->counters) {
         const auto full = fmt::format("waxwing_{}_total", name);
--- /dev/null
+++ b/test/io/backend-client-test.cpp
@@ -0,0 +1,182 @@
+// Tests of the HTTP client towards backend servers, against servers that misbehave on the wire.
+#include "io/connection/backend-client.h"
+#include "support/raw-connection.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace waxwinglug::io {
+namespace {
+
+    using test::RawServer;
+    using test::tcp;
+    using Kind = BackendResult::Kind;
+
+    class BackendClientTest : public ::testing::Test {
+    protected:
+        BackendClientTest()
+            : work(boost::asio::make_work_guard(context))
+            , client(context, systemClock(), {})
+            , thread([this] { this->context.run(); })
+        {
+        }
+
+        ~BackendClientTest() override
+        {
+            this->context.stop();
+            this->thread.join();
+        }
+
+        BackendResult call(std::uint16_t port, std::string method = "POST", Duration timeout = std::chrono::seconds(20))
+        {
+            std::promise<BackendResult> promise;
+            BackendCall call;
+            call.server = { "127.0.0.1", port };
+            call.request = { std::move(method), "/x", {}, "body" };
+            call.answerTimeout = timeout;
+            this->client.call(
+                std::move(call), [] { return true; }, [&promise](BackendResult result) { promise.set_value(result); });
+            return promise.get_future().get();
+        }
+
+        // Calls a server that answers with these bytes and then closes.
+        BackendResult callWithAnswer(const std::string& bytes)
+        {
+            RawServer server([&bytes](tcp::socket& socket, int) {
+                RawServer::readHeader(socket);
+                RawServer::write(socket, bytes);
+            });
+            return this->call(server.port());
+        }
+
+        boost::asio::io_context context;
+        boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+        BackendClient client;
+        std::thread thread;
+    };
+
+    TEST_F(BackendClientTest, wholeAnswersAreReturned)
+    {
+        auto result = this->callWithAnswer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        EXPECT_EQ(result.kind, Kind::Answered);
+        EXPECT_EQ(result.response.body, "ok");
+        result = this->callWithAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+        EXPECT_EQ(result.kind, Kind::Answered);
+        EXPECT_EQ(result.response.body, "ok");
+        result = this->callWithAnswer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n");
+        EXPECT_EQ(result.kind, Kind::Answered);
+        EXPECT_EQ(result.response.status, 204);
+    }
+
+    TEST_F(BackendClientTest, cutAnswersAreNeverTakenForWhole)
+    {
+        // Guards against a caller that gets part of an answer; the last case has no length, so a cut cannot be seen.
+        for (const std::string bytes : {
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok",
+                 "HTTP/1.1 200 OK\r\nContent-Le",
+                 "",
+                 "HTTP/1.1 200 OK\r\n\r\nok",
+             }) {
+            EXPECT_EQ(this->callWithAnswer(bytes).kind, Kind::Broken) << bytes;
+        }
+    }
+
+    TEST_F(BackendClientTest, refusedConnectionSendsNothing)
+    {
+        std::uint16_t port = 0;
+        {
+            const RawServer server([](tcp::socket&, int) {});
+            port = server.port();
+        }
+        EXPECT_EQ(this->call(port).kind, Kind::Refused);
+    }
+
+    TEST_F(BackendClientTest, requestIsSentOnceWhenAReusedConnectionCloses)
+    {
+        // Guards against a client that sends again by itself, which would run a request twice.
+        std::atomic<int> requests = 0;
+        RawServer server([&requests](tcp::socket& socket, int) {
+            RawServer::readHeader(socket);
+            ++requests;
+            RawServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            char body[4];
+            boost::asio::read(socket, boost::asio::buffer(body)); // of the first request
+            if (!RawServer::readHeader(socket).empty())
+                ++requests;
+        });
+        EXPECT_EQ(this->call(server.port()).kind, Kind::Answered);
+        EXPECT_EQ(this->call(server.port()).kind, Kind::Broken);
+        EXPECT_EQ(requests, 2);
+    }
+
+    TEST_F(BackendClientTest, lateAnswerReachesNoOtherRequest)
+    {
+        // Guards against a connection that is reused while an answer is outstanding on it.
+        std::promise<void> release;
+        auto released = release.get_future().share();
+        RawServer server([released](tcp::socket& socket, int connection) {
+            RawServer::readHeader(socket);
+            if (connection == 0)
+                released.wait();
+            const std::string body = connection == 0 ? "late" : "good";
+            RawServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n" + body);
+            RawServer::waitForClose(socket);
+        });
+        EXPECT_EQ(this->call(server.port(), "POST", std::chrono::milliseconds(50)).kind, Kind::Overdue);
+        release.set_value();
+        const auto result = this->call(server.port());
+        EXPECT_EQ(result.kind, Kind::Answered);
+        EXPECT_EQ(result.response.body, "good");
+    }
+
+    TEST_F(BackendClientTest, bytesAfterAnAnswerEndTheConnection)
+    {
+        // Guards against a stray second answer that the next request would take for its own.
+        RawServer server([](tcp::socket& socket, int) {
+            RawServer::readHeader(socket);
+            RawServer::write(socket,
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngoodHTTP/1.1 200 OK\r\n"
+                "Content-Length: 5\r\n\r\nstray");
+            RawServer::waitForClose(socket);
+        });
+        for (int count = 0; count < 3; ++count)
+            EXPECT_EQ(this->call(server.port()).response.body, "good");
+    }
+
+    TEST_F(BackendClientTest, silentConnectionRetiresOlderOnes)
+    {
+        // Guards against further requests on connections that something between the two ends has lost track of: the
+        // first two connections answer once and are silent afterwards.
+        std::atomic<int> silentRequests = 0;
+        RawServer server([&silentRequests](tcp::socket& socket, int connection) {
+            for (int request = 0;; ++request) {
+                if (RawServer::readHeader(socket).empty())
+                    return;
+                char body[4];
+                boost::asio::read(socket, boost::asio::buffer(body));
+                if (connection < 2 && request > 0) {
+                    ++silentRequests;
+                    continue;
+                }
+                // Both first requests are answered late, so that two connections are open.
+                std::this_thread::sleep_for(std::chrono::milliseconds(connection < 2 ? 100 : 0));
+                RawServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            }
+        });
+        auto first = std::async(std::launch::async, [&] { return this->call(server.port(), "GET"); });
+        auto second = std::async(std::launch::async, [&] { return this->call(server.port(), "GET"); });
+        EXPECT_EQ(first.get().kind, Kind::Answered);
+        EXPECT_EQ(second.get().kind, Kind::Answered);
+        EXPECT_EQ(this->call(server.port(), "GET", std::chrono::milliseconds(300)).kind, Kind::Overdue);
+        // One of the two silent connections is left, and may be tried before a newer one has been seen to work.
+        this->call(server.port(), "GET", std::chrono::milliseconds(300));
+        for (int count = 0; count < 3; ++count)
+            EXPECT_EQ(this->call(server.port(), "GET").kind, Kind::Answered);
+        EXPECT_LE(silentRequests, 2);
+    }
+
+} // namespace
+} // namespace waxwinglug::io
--- a/test/request/admission-test.cpp
+++ b/test/request/admission-test.cpp
@@ -183,7 +183,8 @@
         settings.queueLimit = 20;
         Machine machine(settings);
         while (machine.submit("north", WorkClass::Interactive, Duration::max()).refusal == AdmissionRefusal::None) { }
-        EXPECT_EQ(machine.submit("north", WorkClass::Interactive, Duration::max()).refusal, AdmissionRefusal::QueueFull);
+        EXPECT_EQ(
+            machine.submit("north", WorkClass::Interactive, Duration::max()).refusal, AdmissionRefusal::QueueFull);
         EXPECT_EQ(machine.submit("west", WorkClass::Interactive, Duration::max()).refusal, AdmissionRefusal::None);
         while (machine.submit("south", WorkClass::Interactive, Duration::max()).refusal == AdmissionRefusal::None) { }
         EXPECT_LE(machine.scheduler.waiting(), 40U);
