Load the whole document when a delta does not fit

A delta that does not apply to the base threw out of the platform handler and would have ended the control thread; only a wrong hash fell back to the document. Both now load the document. The new test fails with the former follower.

--- a/src/version/config-follower.cpp
+++ b/src/version/config-follower.cpp
@@ -21,6 +21,17 @@
     constexpr Duration conflictDelay = std::chrono::milliseconds(250);
     constexpr std::size_t keptQuestions = 8;
 
+    // Empty when the delta does not lead to the proposed document; the whole document is then loaded.
+    std::string applyDelta(const std::string& base, const Delta& delta)
+    {
+        try {
+            auto document = applyChanges(base, delta.changes);
+            return hashKey(document) == delta.hash ? document : std::string();
+        } catch (const Error&) {
+            return {};
+        }
+    }
+
 } // namespace
 
 struct ConfigFollower::Poll {
@@ -208,8 +219,8 @@
             }
             const auto delta = detail::parseRow<Delta>(rows->at(0));
             const auto* base = rows->at(0).version == 0 ? nullptr : this->known(delta.base);
-            const auto document = base ? applyChanges(base->document, delta.changes) : std::string();
-            if (base && hashKey(document) == delta.hash)
+            const auto document = base ? applyDelta(base->document, delta) : std::string();
+            if (!document.empty())
                 handler(this->load(version, document));
             else
                 fetchObject();
--- a/test/version/rollout-test.cpp
+++ b/test/version/rollout-test.cpp
@@ -166,6 +166,24 @@
         EXPECT_EQ(world.currentVersion(), 2U);
     }
 
+    // Guards against a delta that does not fit the base and ends the process or leads to another document.
+    TEST(Rollout, aDeltaThatDoesNotFitIsReplacedByTheDocument)
+    {
+        for (const std::string section : { "team n", "team other" }) {
+            World world(std::vector<Isolation>(2, Isolation::Serve));
+            world.propose(0, 7);
+            world.fake.deliver();
+            auto delta = Json::parse(world.fake.row("config/delta/2").value);
+            delta.at("changes").at(0) = Json { 1, section, "services", "t", "" };
+            world.fake.set("config/delta/2", delta.dump());
+            world.settle();
+            for (const auto& node : world.nodes) {
+                EXPECT_EQ(node->follower->versions().inForce, 2U);
+                EXPECT_EQ(node->follower->granted()->fresh->teams.at("n").limit, 3);
+            }
+        }
+    }
+
     // Guards against a second operator who overwrites the change of the first.
     TEST(Rollout, theSecondOperatorGetsAConflictThatNamesTheVersion)
     {
