Keep background jobs until they are done

A batch of up to 32 jobs is one row with one owner, written by conditional writes that carry a nonce. A job is accepted once its row is stored; a lost answer is read back. A non-idempotent job is dispatched only after its started mark is stored, so a node that takes the batch over parks it as outcome unknown. Cancellations, results and marks of one batch share a write, and a tick makes at most eight.

Results are kept in the row, not in an object: the end of the job and its result are then stored by one write. Payloads and results are base64, because they need not be UTF-8. A mark whose write has no answer is withdrawn when the read back fails too, so a slot does not wait for the store.

--- /dev/null
+++ b/src/process/job-takeover.cpp
@@ -0,0 +1,61 @@
+// Batches that change their owner: taken over from nodes that are gone, and handed back for a shutdown.
+#include <waxwinglug/jobs.h>
+
+#include "process/job-rows.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwinglug {
+
+void JobStore::takeOver(const std::vector<VmStatus>& vms, const std::vector<NodeId>& peers)
+{
+    this->table.scan("jobs/", [this, live = this->alive, vms, peers](std::optional<std::vector<Row>> rows) {
+        if (!*live || !rows)
+            return;
+        for (const auto& row : *rows)
+            this->claim(row, vms, peers);
+    });
+}
+
+void JobStore::claim(const Row& row, const std::vector<VmStatus>& vms, const std::vector<NodeId>& peers)
+{
+    auto content = detail::decodeBatch(row.value);
+    if (!content || this->owned.contains(row.key))
+        return;
+    const auto& owner = content->owner;
+    const bool gone = owner.name.empty()
+        || (owner.name == this->self.name && owner.incarnation < this->self.incarnation)
+        || std::any_of(vms.begin(), vms.end(),
+            [&owner](const VmStatus& vm) { return vm.name == owner.name && vm.state == VmState::Gone; })
+        || std::any_of(peers.begin(), peers.end(),
+            [&owner](const NodeId& peer) { return peer.name == owner.name && peer.incarnation > owner.incarnation; });
+    if (!gone)
+        return;
+    const auto batch = std::make_shared<Batch>();
+    batch->key = row.key;
+    batch->version = row.version;
+    batch->dirty = true;
+    for (auto& job : content->jobs) {
+        Entry entry { std::move(job), Phase::Waiting, {}, 0 };
+        if (entry.job.state == JobState::Started)
+            this->end(entry, JobState::Parked, "outcome unknown");
+        const auto id = entry.job.id;
+        batch->jobs[id] = std::move(entry);
+    }
+    this->owned[row.key] = batch;
+}
+
+void JobStore::handBack()
+{
+    for (const auto& [key, batch] : this->owned) {
+        const bool running = std::any_of(batch->jobs.begin(), batch->jobs.end(),
+            [](const auto& item) { return item.second.phase != Phase::Waiting; });
+        if (running || !batch->announced)
+            continue;
+        batch->handingBack = true;
+        batch->dirty = true;
+    }
+}
+
+} // namespace waxwinglug
--- /dev/null
+++ b/test/process/jobs-test.cpp
@@ -0,0 +1,304 @@
+// Tests of background jobs, with several nodes over one table.
+#include "support/fake-platform.h"
+#include "support/steps.h"
+
+#include <waxwinglug/jobs.h>
+#include <waxwinglug/json.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace waxwinglug {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Three nodes. A node that others take for gone goes on as if it had been paused.
+    struct JobWorld {
+        static constexpr int kinds = 17;
+        static constexpr int nodes = 3;
+        struct Truth {
+            bool idempotent = false;
+            bool accepted = false;
+            bool refused = false;
+            bool removed = false;
+            int runs = 0; // without those that ended as not run
+        };
+        test::FakePlatform fake;
+        ManualClock clock;
+        std::array<std::unique_ptr<JobStore>, nodes> stores;
+        std::array<std::uint64_t, nodes> incarnation {};
+        std::map<std::string, Truth> truth;
+        std::vector<std::pair<int, std::string>> running;
+
+        JobWorld()
+        {
+            for (int node = 0; node < nodes; ++node)
+                this->start(node);
+        }
+
+        void start(int node)
+        {
+            std::erase_if(this->running, [node](const auto& entry) { return entry.first == node; });
+            JobOptions options;
+            options.jobsPerRow = 3;
+            this->stores[node]
+                = std::make_unique<JobStore>(NodeId { "e" + std::to_string(node), ++this->incarnation[node] },
+                    this->fake.platform().table, this->clock.clock(), options,
+                    JobHooks { [this, node](const Job& job) { this->run(node, job); }, [](const std::string&) {},
+                        [](const std::string&) {} });
+        }
+
+        void run(int node, const Job& job)
+        {
+            auto& entry = this->truth.at(job.id);
+            // A job can run without having been accepted, when its node ended before the table answered.
+            RC_ASSERT(!entry.refused);
+            RC_ASSERT(job.payload == "payload\xff");
+            RC_ASSERT(entry.idempotent || entry.runs == 0);
+            ++entry.runs;
+            this->running.emplace_back(node, job.id);
+        }
+
+        bool inTable(const std::string& id) const
+        {
+            const auto row = this->fake.row("jobs/" + id.substr(0, id.rfind('/')));
+            return row.value.find('"' + id + '"') != std::string::npos;
+        }
+
+        bool endIsStored(const std::string& id) const
+        {
+            if (!this->inTable(id))
+                return true;
+            const auto row = Json::parse(this->fake.row("jobs/" + id.substr(0, id.rfind('/'))).value);
+            for (const auto& job : row["jobs"]) {
+                if (job["id"] == id)
+                    return job["state"] == static_cast<int>(JobState::Done)
+                        || job["state"] == static_cast<int>(JobState::Parked);
+            }
+            return false;
+        }
+
+        void accept(int node, bool idempotent)
+        {
+            // The id is known before the handler runs, which it never does at once.
+            const auto id = std::make_shared<std::string>();
+            *id = this->stores[node]->accept("ledger", "north", idempotent, "payload\xff", [this, id](bool stored) {
+                auto& entry = this->truth.at(*id);
+                RC_ASSERT(!entry.accepted && !entry.refused);
+                (stored ? entry.accepted : entry.refused) = true;
+            });
+            this->truth[*id].idempotent = idempotent;
+        }
+
+        void finishOne(unsigned pick)
+        {
+            if (this->running.empty())
+                return;
+            const auto [node, id] = this->running[pick % this->running.size()];
+            std::erase(this->running, std::pair(node, id));
+            const auto end = static_cast<JobEnd>(pick % 4);
+            if (end == JobEnd::NotRun)
+                --this->truth.at(id).runs;
+            this->stores[node]->finished(id, end, "v" + std::to_string(pick % 5), "text");
+        }
+
+        std::string anyId(unsigned pick) const
+        {
+            return this->truth.empty() ? std::string()
+                                       : std::next(this->truth.begin(), pick % this->truth.size())->first;
+        }
+
+        void takeOver(int node, unsigned pick)
+        {
+            std::vector<VmStatus> vms;
+            if (pick % 2 == 0)
+                vms.push_back({ "e" + std::to_string(pick / 2 % nodes), VmState::Gone, 1 });
+            this->stores[node]->takeOver(vms, this->peers());
+        }
+
+        std::vector<NodeId> peers() const
+        {
+            std::vector<NodeId> result;
+            result.reserve(nodes);
+            for (int node = 0; node < nodes; ++node)
+                result.emplace_back("e" + std::to_string(node), this->incarnation[node]);
+            return result;
+        }
+
+        void step(int kind, int node, unsigned pick)
+        {
+            switch (kind) {
+            case 0:
+                return this->accept(node, pick % 3 == 0);
+            case 1:
+            case 2:
+                this->stores[node]->start("ledger");
+                return;
+            case 3:
+            case 4:
+                return this->finishOne(pick);
+            case 5:
+                return this->stores[node]->cancel({ this->anyId(pick), this->anyId(pick + 1) });
+            case 6:
+                if (const auto id = this->anyId(pick); !id.empty() && this->stores[node]->remove(id)) {
+                    this->truth[id].removed = true;
+                    RC_ASSERT(this->endIsStored(id));
+                }
+                return;
+            case 7:
+                this->fake.loseCommitAnswers = pick % 3 == 0;
+                return;
+            case 8:
+                this->fake.down = pick % 4 == 0;
+                return;
+            case 9:
+                if (pick % 6 == 0)
+                    this->start(node);
+                return;
+            case 10:
+                if (pick % 4 == 0)
+                    this->takeOver(node, pick / 4);
+                return;
+            case 11:
+                if (pick % 6 == 0)
+                    this->stores[node]->handBack();
+                return;
+            case 12:
+                this->clock.advance(Duration(pick * 5));
+                return;
+            case 13:
+            case 14:
+                return this->stores[node]->tick();
+            default:
+                this->fake.deliverOne(pick);
+            }
+        }
+
+        void check() const
+        {
+            for (const auto& [id, entry] : this->truth) {
+                RC_ASSERT(!entry.accepted || entry.removed || this->inTable(id));
+                RC_ASSERT(!entry.refused || !this->inTable(id));
+            }
+        }
+
+        // With a working table, every accepted job ends.
+        void finish()
+        {
+            this->fake.down = false;
+            this->fake.loseCommitAnswers = false;
+            for (int round = 0; round < 40; ++round) {
+                for (int node = 0; node < nodes; ++node) {
+                    auto& store = *this->stores[node];
+                    store.takeOver({}, this->peers());
+                    this->clock.advance(10s);
+                    while (!store.start("ledger").empty()) { }
+                    store.tick();
+                    this->fake.deliver();
+                    for (const auto& [owner, id] : std::exchange(this->running, {}))
+                        this->stores[owner]->finished(id, JobEnd::Succeeded, "v1", "done");
+                }
+            }
+            int ended = 0;
+            for (const auto& [id, entry] : this->truth) {
+                RC_ASSERT(entry.accepted || entry.refused || !this->inTable(id) || this->isOld(id));
+                if (!entry.accepted || entry.removed)
+                    continue;
+                const Job* job = nullptr;
+                for (const auto& store : this->stores)
+                    job = store->find(id) ? store->find(id) : job;
+                RC_ASSERT(job != nullptr);
+                RC_ASSERT(job->state == JobState::Done || job->state == JobState::Parked);
+                ++ended;
+            }
+            RC_CLASSIFY(ended > 0, "jobs ended");
+        }
+
+        // Issued by a process that has ended before the answer arrived.
+        bool isOld(const std::string& id) const
+        {
+            const auto home = id.substr(id.find('/') + 1);
+            const auto number = std::stoull(home.substr(3));
+            return number < this->incarnation[static_cast<std::size_t>(home[1] - '0')];
+        }
+    };
+
+    // Guards against a lost job, a second run of a non-idempotent job, a false "not run" and a job that stalls.
+    RC_GTEST_PROP(JobStore, acceptedJobsEndAndRunAtMostOnce, ()) { test::checkSteps<JobWorld>(); }
+
+    struct OneStore {
+        test::FakePlatform fake;
+        ManualClock clock;
+        std::vector<std::string> started;
+        JobStore store { { "e1", 1 }, this->fake.platform().table, this->clock.clock(), {},
+            { [this](const Job& job) { this->started.push_back(job.id); }, [](const std::string&) {},
+                [](const std::string&) {} } };
+
+        std::string stored(bool idempotent)
+        {
+            auto id = this->store.accept("ledger", "north", idempotent, "p", [](bool) {});
+            this->settle();
+            return id;
+        }
+
+        void settle()
+        {
+            this->store.tick();
+            this->fake.deliver();
+        }
+    };
+
+    // Guards against a job that fails everywhere and takes slots for ever.
+    TEST(JobStore, jobThatFailsWhereOthersSucceedIsParked)
+    {
+        OneStore node;
+        const auto bad = node.stored(true);
+        int runs = 0;
+        for (int i = 0; i < 10; ++i) {
+            const auto server = "v" + std::to_string(i);
+            node.stored(true);
+            node.clock.advance(10min);
+            while (!node.store.start("ledger").empty()) { }
+            for (const auto& id : std::exchange(node.started, {})) {
+                runs += id == bad ? 1 : 0;
+                node.store.finished(id, id == bad ? JobEnd::Failed : JobEnd::Succeeded, server, "exit 1");
+            }
+            node.settle();
+        }
+        // The third server has succeeded with another job only after the third failure.
+        EXPECT_EQ(runs, 4);
+        EXPECT_EQ(node.store.find(bad)->state, JobState::Parked);
+        EXPECT_EQ(node.store.find(bad)->reason, "fails where other jobs succeed: exit 1");
+    }
+
+    // Guards against a wave of cancellations that takes one write per job.
+    TEST(JobStore, waveOfCancellationsTakesOneWritePerRow)
+    {
+        OneStore node;
+        std::vector<std::string> ids;
+        ids.reserve(640);
+        for (int i = 0; i < 640; ++i)
+            ids.push_back(node.store.accept("ledger", "north", true, "p", [](bool) {}));
+        for (int i = 0; i < 10; ++i)
+            node.settle();
+        EXPECT_EQ(node.fake.commits, 20);
+        node.store.cancel(ids);
+        for (int i = 0; i < 10; ++i) {
+            const int before = node.fake.commits;
+            node.settle();
+            EXPECT_LE(node.fake.commits - before, 8);
+        }
+        EXPECT_EQ(node.fake.commits, 40);
+        EXPECT_EQ(node.store.start("ledger"), "");
+    }
+
+} // namespace
+} // namespace waxwinglug
