Let the operator server tests choose a free port

All five operator server tests failed once in a run with ctest -j3 and passed in the next 17 runs. The output of the failed run was not kept. The likely cause, not proved, is a run in another build directory that used the same fixed port 27080; an ephemeral port (32768 and above) was ruled out. Two runs with chosen ports passed.

--- a/test/io/operator-server-test.cpp
+++ b/test/io/operator-server-test.cpp
@@ -17,7 +17,21 @@
 namespace waxwinglug {
 namespace {
 
-    constexpr std::uint16_t port = 27080;
+    // A port that was free a moment ago, so that test runs in several build directories do not collide.
+    std::uint16_t freePort()
+    {
+        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof address;
+        EXPECT_EQ(bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+        EXPECT_EQ(getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length), 0);
+        close(socket);
+        return ntohs(address.sin_port);
+    }
+
+    const std::uint16_t port = freePort();
 
     // Sends the bytes and returns everything received until the server closes or is silent for 300 ms.
     std::string exchange(const std::string& request, const std::string& later = "")
