--- a/src/version/config-follower.cpp
+++ b/src/version/config-follower.cpp
@@ -82,7 +82,9 @@
     this->platform.table.read({ std::string(detail::currentKey), std::string(detail::proposalKey),
                                   std::string(detail::nodePrefix) + this->settings.node.name },
         whileAlive(this->alive, [this, poll](const std::optional<std::vector<Row>>& rows) {
-            this->lastAttempt = this->clock.now();
+            // A call takes at most 2 s, so a later answer is from before a pause of this process and may be old.
+            if (this->clock.now() - poll->sentAt < unknownAfter)
+                this->lastAttempt = this->clock.now();
             if (rows)
                 this->onRows(poll, *rows);
             else
--- a/test/daemon/fleet.cpp
+++ b/test/daemon/fleet.cpp
@@ -193,20 +193,28 @@
     waitUntil(name + " is healthy", [&] { return this->operators(name, "/health").status == 200; });
 }
 
-int Fleet::ctl(const std::vector<std::string>& arguments)
+std::pair<int, std::string> Fleet::runCtl(const std::vector<std::string>& arguments)
 {
     std::vector<std::string> all { "--platform", fmt::format("127.0.0.1:{}", this->platform->port()) };
     all.insert(all.end(), arguments.begin(), arguments.end());
     Process process("waxwingctl", all, this->folder / fmt::format("ctl-{}.log", ++this->ctlRuns));
     const int code = process.wait();
-    this->lastOutput = process.output();
+    return { code, process.output() };
+}
+
+int Fleet::ctl(const std::vector<std::string>& arguments)
+{
+    auto [code, output] = this->runCtl(arguments);
+    this->lastOutput = std::move(output);
     return code;
 }
 
+std::string Fleet::rolloutStatus() { return this->runCtl({ "status" }).second; }
+
 std::string Fleet::document(const std::string& extra)
 {
     std::string text = "[document]\nname = test\n"
-                       "[service quoting]\nclass = interactive\ndeadline = 10s\nlongest-run = 20s\nbody-limit = 64KiB\n"
+                       "[service quoting]\nclass = interactive\ndeadline = 10s\nlongest-run = 2s\nbody-limit = 64KiB\n"
                        "[service notes]\nopen = yes\n"
                        "[pool quoting]\nservice = quoting\nmin-available = 0%\nmin-vms = 0\n"
                        "[pool notes]\nservice = notes\nmin-available = 0%\nmin-vms = 0\n";
--- a/test/daemon/fleet.h
+++ b/test/daemon/fleet.h
@@ -7,6 +7,7 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <cstdint>
 #include <filesystem>
 #include <functional>
@@ -61,6 +62,8 @@
     std::uint16_t entryPort(const std::string& name) const { return this->entries.at(name).callers; }
     // Runs waxwingctl and returns its exit code; the output is kept in `lastOutput`.
     int ctl(const std::vector<std::string>& arguments);
+    // Output of `waxwingctl status`; may be called from another thread than ctl().
+    std::string rolloutStatus();
     // The document of this fleet with these extra lines, as a file.
     std::string document(const std::string& extra = {});
     // Applies the document and waits until it is in force.
@@ -90,13 +93,16 @@
         std::uint16_t operators = 0;
     };
 
+    // Exit code and output of waxwingctl.
+    std::pair<int, std::string> runCtl(const std::vector<std::string>& arguments);
+
     std::filesystem::path folder;
     std::unique_ptr<Process> platform;
     std::vector<std::unique_ptr<Process>> backends;
     std::map<std::string, Entry> entries;
     // Peer addresses of all entry VMs so far, as seeds of the next.
     std::string seeds;
-    int ctlRuns = 0;
+    std::atomic<int> ctlRuns = 0;
 };
 
 } // namespace waxwinglug::test
--- /dev/null
+++ b/test/version/config-follower-test.cpp
@@ -0,0 +1,33 @@
+// Scenario tests of the configuration follower that need exact control over pauses.
+#include "support/fake-platform.h"
+
+#include <waxwinglug/rollout.h>
+
+#include <gtest/gtest.h>
+
+namespace waxwinglug {
+namespace {
+
+    // Guards against a process that is paused between a poll and its answer: the answer is old when it wakes up, so
+    // keyed requests must wait for a further poll.
+    TEST(ConfigFollower, answerFromBeforeAPauseDoesNotCountAsRefresh)
+    {
+        test::FakePlatform fake;
+        ManualClock time;
+        Random random(1);
+        ConfigFollower follower({ { "e1", 1 }, "dc1" }, fake.platform(), time.clock(), random, {});
+        follower.tick();
+        fake.deliver();
+        EXPECT_FALSE(follower.needsRefresh());
+        time.advance(std::chrono::seconds(1));
+        follower.tick();
+        time.advance(std::chrono::seconds(60));
+        fake.deliver();
+        EXPECT_TRUE(follower.needsRefresh());
+        follower.tick();
+        fake.deliver();
+        EXPECT_FALSE(follower.needsRefresh());
+    }
+
+} // namespace
+} // namespace waxwinglug
