--- a/include/waxwinglug/settings.h
+++ b/include/waxwinglug/settings.h
@@ -45,6 +45,8 @@
     Duration confirmTimeout { 0 };
     // Least time between two moves of the same VM between pools.
     Duration moveInterval { 0 };
+    // How long a VM that has come back gets a reduced rate before the next one is drained in its place.
+    Duration slowStart { 0 };
 };
 
 // One line of the table that `--help` prints.
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -164,6 +164,8 @@
             { { "maintain", "move-interval", "10m", "duration, 1m to 1d",
                   "least time between two moves of the same VM" },
                 durationInto(&S::moveInterval, minutes(1), hours(24)) },
+            { { "maintain", "slow-start", "30s", "duration, 1s to 10m", "reduced rate of a VM that has come back" },
+                durationInto(&S::slowStart, seconds(1), minutes(10)) },
         };
         return table;
     }
