--- a/src/io/process/entry-control.cpp
+++ b/src/io/process/entry-control.cpp
@@ -75,6 +75,7 @@
               }
               return names;
           })
+    , reporter(self, entrySettings.dataCentre, platform.table, clock)
     , guard(self, clock, platform.table, randomNumber, guardHooks())
     , random(randomNumber())
 {
@@ -203,6 +204,22 @@
     return found != this->listed.end() && found->second.state == VmState::Gone;
 }
 
+void EntryControl::report()
+{
+    std::map<std::string, int> work;
+    for (const auto& [service, state] : this->services) {
+        auto& backends = state.dispatcher->backends();
+        for (const auto& [vm, settingsOfVm] : this->config->vms) {
+            const auto* row = this->vms.find(vm);
+            const auto server = backends.find(vm);
+            if (server && row && row->phase != VmPhase::Serving && row->phase != VmPhase::SlowStart)
+                work[vm] += backends.active(*server);
+        }
+    }
+    this->reporter.update(this->vms.applied(), std::move(work));
+    this->reporter.tick();
+}
+
 void EntryControl::accept(const std::shared_ptr<Exchange>& exchange) { this->guard.admit(exchange); }
 
 void EntryControl::submit(const std::shared_ptr<Exchange>& exchange)
@@ -254,8 +271,10 @@
 
 void EntryControl::pollPlatform()
 {
-    if (this->config)
+    if (this->config) {
         this->vms.poll();
+        this->report();
+    }
     if (this->listing)
         return;
     this->listing = true;
--- a/src/io/process/entry-control.h
+++ b/src/io/process/entry-control.h
@@ -9,6 +9,7 @@
 #include <waxwinglug/allotments.h>
 #include <waxwinglug/dispatcher.h>
 #include <waxwinglug/metrics.h>
+#include <waxwinglug/node-reporter.h>
 #include <waxwinglug/settings.h>
 #include <waxwinglug/vm-rows.h>
 
@@ -77,6 +78,8 @@
     void applyVmRow(const std::string& vm);
     void applyVmList(const std::vector<VmStatus>& list);
     bool isGone(const NodeId& node) const;
+    // Tells the maintainer what this node has applied and what it runs on VMs that take no new work.
+    void report();
 
     void send(const std::string& service, const Attempt& attempt);
     void attemptEnded(const std::string& service, WorkHandle work, int attempt, BackendResult result);
@@ -93,6 +96,7 @@
     std::shared_ptr<const Config> config;
     Allotments allotments;
     VmView vms;
+    NodeReporter reporter;
     // The platform's list as last read; by name.
     std::map<std::string, VmStatus, std::less<>> listed;
     std::map<std::string, ServiceState, std::less<>> services;
