Add wave and pools commands to waxwingctl

Cause: operators could not start, show, resume or cancel a wave. Writes are conditional; a lost answer is settled by reading the row back. Conclusion: needs tests of its own.

--- a/src/bin/waxwingctl.cpp
+++ b/src/bin/waxwingctl.cpp
@@ -1,4 +1,5 @@
 // The operators' tool: checks, plans and applies documents, shows the roll-out, and grants and withdraws keys.
+#include "io/process/operator-commands.h"
 #include "io/process/platform-client.h"
 
 #include <waxwinglug/json.h>
@@ -29,6 +30,8 @@
       "  key add TEAM ID             generate a key, apply it, print it once\n"
       "  key withdraw TEAM ID        withdraw a key\n"
       "  abandon VERSION             end a proposal that is not accepted\n"
+      "  wave ACTION NAME            start, status, resume or cancel a maintenance wave\n"
+      "  pools                       show the VMs by pool and phase\n"
       "options:\n"
       "  --platform HOST:PORT        address of the platform\n"
       "  --base VERSION              version that the document was made from; default: current\n"
@@ -183,6 +186,14 @@
             fmt::print("waiting for {}\n", name);
     }
 
+    void wave(std::string_view action, const std::string& name)
+    {
+        fmt::print(
+            "{}", io::runWaveCommand(this->table(), this->currentConfig(), action, name, systemClock().wallNow()));
+    }
+
+    void showPools() { fmt::print("{}", io::describePools(this->table(), this->currentConfig())); }
+
 private:
     struct Current {
         std::uint64_t version = 0;
@@ -220,6 +231,25 @@
                 })) };
     }
 
+    Config currentConfig() { return parseConfig(this->current().document, "config/current"); }
+
+    io::BlockingTable table()
+    {
+        using Rows = std::optional<std::vector<Row>>;
+        const auto hooks = this->client.platform().table;
+        return {
+            [this, hooks](const std::vector<std::string>& keys) {
+                return available(this->wait<Rows>([&](auto done) { hooks.read(keys, done); }));
+            },
+            [this, hooks](const std::string& prefix) {
+                return available(this->wait<Rows>([&](auto done) { hooks.scan(prefix, done); }));
+            },
+            [this, hooks](const std::vector<RowWrite>& writes) {
+                return this->wait<CommitResult>([&](auto done) { hooks.commit(writes, done); });
+            },
+        };
+    }
+
     RolloutStatus status()
     {
         return available(this->wait<std::optional<RolloutStatus>>([&](auto done) { this->coordinator.status(done); }));
@@ -282,7 +312,9 @@
     const auto command = words.empty() ? std::string() : words[0];
     const auto is = [&](std::string_view name, std::size_t count) { return command == name && words.size() == count; };
     const bool key = is("key", 4) && (words[1] == "add" || words[1] == "withdraw");
-    if (!is("check", 2) && !is("plan", 2) && !is("apply", 2) && !is("status", 1) && !is("abandon", 2) && !key)
+    const bool wave = is("wave", 3) && io::isWaveAction(words[1]);
+    if (!is("check", 2) && !is("plan", 2) && !is("apply", 2) && !is("status", 1) && !is("abandon", 2) && !key && !wave
+        && !is("pools", 1))
         throw usageError("unknown command or wrong number of arguments");
     std::string document;
     if (is("check", 2) || is("plan", 2) || is("apply", 2)) {
@@ -304,6 +336,10 @@
         tool.showStatus();
     else if (command == "abandon")
         tool.abandon(static_cast<std::uint64_t>(number(words[1], INT64_MAX)));
+    else if (command == "wave")
+        tool.wave(words[1], words[2]);
+    else if (command == "pools")
+        tool.showPools();
     else if (words[1] == "add")
         tool.addKey(words[2], words[3]);
     else
--- /dev/null
+++ b/src/io/process/operator-commands.cpp
@@ -0,0 +1,119 @@
+// Commands of the operators' tool for maintenance.
+#include "io/process/operator-commands.h"
+
+#include <waxwinglug/error.h>
+#include <waxwinglug/maintenance.h>
+#include <waxwinglug/vm-rows.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+
+namespace waxwinglug::io {
+namespace {
+
+    std::string_view stateName(WaveState state)
+    {
+        constexpr std::string_view names[] = { "running", "paused", "done", "cancelled" };
+        return names[static_cast<std::size_t>(state)];
+    }
+
+    ByName<VmRow> readVms(const BlockingTable& table)
+    {
+        ByName<VmRow> vms;
+        for (const auto& row : table.scan(std::string(vmPrefix)))
+            vms[row.key.substr(vmPrefix.size())] = fromJson<VmRow>(row.value);
+        return vms;
+    }
+
+    // Applies one conditional write. A lost answer is settled by reading the row back.
+    void apply(const BlockingTable& table, const RowWrite& write)
+    {
+        auto status = table.commit({ write }).status;
+        if (status == CommitStatus::Unknown) {
+            const auto row = table.read({ write.key }).at(0);
+            if (row.version && row.value == write.value)
+                status = CommitStatus::Committed;
+            else if (row.version != write.expectedVersion)
+                status = CommitStatus::Conflict;
+        }
+        if (status == CommitStatus::Conflict)
+            throw Error(ErrorKind::Conflict, "the wave was changed meanwhile", "see its status and try again");
+        if (status != CommitStatus::Committed)
+            throw Error(ErrorKind::Unavailable, "the wave was not changed", "see its status and try again later");
+    }
+
+    std::string describeWave(const BlockingTable& table, const Config& config, const Row& row, const Wave& wave)
+    {
+        if (!row.version)
+            return fmt::format("wave {} was never started\n", wave.name);
+        const auto state = fromJson<WaveRow>(row.value);
+        const auto tag = fmt::format("{}#{}", wave.name, state.run);
+        int total = 0;
+        int done = 0;
+        std::string open;
+        const auto rows = readVms(table);
+        for (const auto& [name, vm] : config.vms) {
+            const auto found = rows.find(name);
+            const auto& pool = found == rows.end() ? vm.pool : found->second.pool;
+            if (std::find(wave.pools.begin(), wave.pools.end(), pool) == wave.pools.end())
+                continue;
+            ++total;
+            const bool serving = found == rows.end() || found->second.phase == VmPhase::Serving;
+            if (!serving)
+                open += fmt::format("vm {} {}\n", name, phaseName(found->second.phase));
+            else if (found != rows.end() && found->second.wave == tag)
+                ++done;
+        }
+        return fmt::format("wave {} run {} {}: {} of {} VMs done\n{}{}", wave.name, state.run, stateName(state.state),
+            done, total, state.reason.empty() ? "" : state.reason + "\n", open);
+    }
+
+} // namespace
+
+bool isWaveAction(std::string_view action)
+{
+    return action == "start" || action == "status" || action == "resume" || action == "cancel";
+}
+
+std::string runWaveCommand(
+    const BlockingTable& table, const Config& config, std::string_view action, const std::string& name, WallTime now)
+{
+    const auto wave = config.waves.find(name);
+    if (wave == config.waves.end())
+        throw Error(ErrorKind::Invalid, fmt::format("no wave {} in the document in force", name), "declare [wave]");
+    const auto row = table.read({ waveKey(name) }).at(0);
+    if (action == "status")
+        return describeWave(table, config, row, wave->second);
+    if (action == "start")
+        apply(table, startWave(row, name, now));
+    else
+        apply(table, action == "resume" ? resumeWave(row) : cancelWave(row));
+    const auto changed = fromJson<WaveRow>(table.read({ waveKey(name) }).at(0).value);
+    return fmt::format("wave {} run {} {}\n", name, changed.run, stateName(changed.state));
+}
+
+std::string describePools(const BlockingTable& table, const Config& config)
+{
+    const auto rows = readVms(table);
+    std::map<std::string, std::map<std::string_view, std::vector<std::string>>> pools;
+    for (const auto& [name, pool] : config.pools)
+        pools[name];
+    for (const auto& [name, vm] : config.vms) {
+        const auto found = rows.find(name);
+        if (found == rows.end())
+            pools[vm.pool]["no row"].push_back(name);
+        else
+            pools[found->second.pool][phaseName(found->second.phase)].push_back(name);
+    }
+    std::string text;
+    for (const auto& [pool, phases] : pools) {
+        text += fmt::format("pool {}\n", pool);
+        for (const auto& [phase, names] : phases)
+            text += fmt::format("  {}: {}\n", phase, fmt::join(names, ", "));
+    }
+    return text;
+}
+
+} // namespace waxwinglug::io
