--- a/src/io/connection/caller-server.cpp
+++ b/src/io/connection/caller-server.cpp
@@ -263,8 +263,8 @@
                 char byte = 0;
                 error_code error;
                 self->socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-                // The reactor can report bytes that have been read already. On a blocking socket this read then held the
-                // traffic thread and the session's strand for as long as the caller was silent.
+                // The reactor can report bytes that have been read already. On a blocking socket this read then held
+                // the traffic thread and the session's strand for as long as the caller was silent.
                 if (error == asio::error::would_block)
                     self->watchDisconnect(generation);
                 else if (error)
