Run a maintenance wave with the real binaries while requests go on

The wave drains, reboots and returns both VMs of a pool one after the other, and two callers get every request answered. The stand-in does not end a backend server at a reboot, so the test proves the order of the drains and not that running work would have been cut.

--- a/test/daemon/fleet.cpp
+++ b/test/daemon/fleet.cpp
@@ -170,7 +170,10 @@
     if (testing::Test::HasFailure()) {
         for (const auto& [name, entry] : this->entries)
             fmt::print("--- log of {}\n{}\n", name, entry.process->output());
+        for (const auto& [name, process] : this->maintainers)
+            fmt::print("--- log of {}\n{}\n", name, process->output());
     }
+    this->maintainers.clear();
     this->entries.clear();
     this->backends.clear();
     this->platform.reset();
@@ -211,13 +214,48 @@
 
 std::string Fleet::rolloutStatus() { return this->runCtl({ "status" }).second; }
 
-std::string Fleet::document(const std::string& extra)
+void Fleet::setVms() const
+{
+    auto vms = Json::array();
+    for (std::size_t i = 0; i < this->backends.size(); ++i)
+        vms.push_back({ { "name", fmt::format("q{:02}", i + 1) }, { "state", "live" }, { "incarnation", 1 } });
+    const Json body = { { "vms", vms } };
+    const auto answer = exchange(this->platform->port(), { "POST", "/control/vms", {}, body.dump() });
+    ASSERT_EQ(answer.status, 200) << answer.body;
+}
+
+std::uint64_t Fleet::vmIncarnation(const std::string& vm) const
+{
+    const auto answer = exchange(this->platform->port(), { "GET", "/vms", {}, "" });
+    const auto list = Json::parse(answer.body);
+    for (const auto& each : list.at("vms")) {
+        if (each.at("name") == vm)
+            return each.at("incarnation").get<std::uint64_t>();
+    }
+    return 0;
+}
+
+std::uint16_t Fleet::addMaintainer(const std::string& name)
+{
+    const auto port = freePort();
+    const auto settings = fmt::format("[node]\nname = {}\ndata-centre = dc1\n[listen]\noperators = 127.0.0.1:{}\n"
+                                      "[platform]\naddress = 127.0.0.1:{}\n[lease]\nduration = 3s\n"
+                                      "[maintain]\nstep = 200ms\nslow-start = 1s\n",
+        name, port, this->platform->port());
+    const auto file = writeText(this->folder / (name + ".ini"), settings);
+    this->maintainers[name] = std::make_unique<Process>(
+        "waxwing-maintain", std::vector<std::string> { file }, this->folder / (name + ".log"));
+    waitUntil(name + " is healthy", [&] { return exchange(port, { "GET", "/health", {}, "" }).status == 200; });
+    return port;
+}
+
+std::string Fleet::document(const std::string& extra, const std::string& minAvailable)
 {
     std::string text = "[document]\nname = test\n"
                        "[service quoting]\nclass = interactive\ndeadline = 10s\nlongest-run = 2s\nbody-limit = 64KiB\n"
                        "[service notes]\nopen = yes\n"
-                       "[pool quoting]\nservice = quoting\nmin-available = 0%\nmin-vms = 0\n"
                        "[pool notes]\nservice = notes\nmin-available = 0%\nmin-vms = 0\n";
+    text += fmt::format("[pool quoting]\nservice = quoting\nmin-available = {}\nmin-vms = 0\n", minAvailable);
     for (std::size_t i = 0; i < this->backends.size(); ++i) {
         text += fmt::format("[vm q{:02}]\npool = quoting\ndata-centre = dc1\nrack = r{}\naddress = 127.0.0.1:{}\n",
             i + 1, i, this->backends[i]->port());
@@ -226,9 +264,9 @@
     return writeText(this->folder / "document.ini", text + extra);
 }
 
-void Fleet::apply(const std::string& extra)
+void Fleet::apply(const std::string& extra, const std::string& minAvailable)
 {
-    const int code = this->ctl({ "apply", this->document(extra) });
+    const int code = this->ctl({ "apply", this->document(extra, minAvailable) });
     ASSERT_EQ(code, 0) << this->lastOutput;
 }
 
--- a/test/daemon/fleet.h
+++ b/test/daemon/fleet.h
@@ -65,9 +65,14 @@
     // Output of `waxwingctl status`; may be called from another thread than ctl().
     std::string rolloutStatus();
     // The document of this fleet with these extra lines, as a file.
-    std::string document(const std::string& extra = {});
+    std::string document(const std::string& extra = {}, const std::string& minAvailable = "0%");
     // Applies the document and waits until it is in force.
-    void apply(const std::string& extra = {});
+    void apply(const std::string& extra = {}, const std::string& minAvailable = "0%");
+    // Puts the backend servers' VMs on the platform's list, live with incarnation 1.
+    void setVms() const;
+    std::uint64_t vmIncarnation(const std::string& vm) const;
+    // Starts a maintenance daemon and waits until it answers operators; returns their port.
+    std::uint16_t addMaintainer(const std::string& name);
 
     io::HttpResponse get(const std::string& entryName, const std::string& key);
     io::HttpResponse post(const std::string& entryName, const std::string& key, const std::string& body,
@@ -100,6 +105,7 @@
     std::unique_ptr<Process> platform;
     std::vector<std::unique_ptr<Process>> backends;
     std::map<std::string, Entry> entries;
+    std::map<std::string, std::unique_ptr<Process>> maintainers;
     // Peer addresses of all entry VMs so far, as seeds of the next.
     std::string seeds;
     std::atomic<int> ctlRuns = 0;
--- /dev/null
+++ b/test/daemon/wave-test.cpp
@@ -0,0 +1,106 @@
+// A maintenance wave with the real binaries while requests go on.
+#include "daemon/fleet.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+namespace waxwinglug::test {
+namespace {
+
+    // Sends idempotent and other requests one after another until it is stopped, and keeps what was not answered.
+    class Caller {
+    public:
+        Caller(Fleet& testFleet, std::string entryName)
+            : fleet(testFleet)
+            , entry(std::move(entryName))
+            , thread([this] { this->run(); })
+        {
+        }
+
+        ~Caller() { this->stop(); }
+        Caller(const Caller&) = delete;
+        Caller& operator=(const Caller&) = delete;
+
+        void stop()
+        {
+            this->stopping = true;
+            if (this->thread.joinable())
+                this->thread.join();
+        }
+
+        int sent() const { return this->count; }
+        // Read only after stop().
+        const std::vector<std::string>& failures() const { return this->failed; }
+
+    private:
+        void run()
+        {
+            while (!this->stopping) {
+                const auto number = ++this->count;
+                const auto answer = number % 2 == 0
+                    ? this->fleet.get(this->entry, this->fleet.key)
+                    : this->fleet.post(this->entry, this->fleet.key, fmt::format("{}-{}", this->entry, number));
+                if (answer.status != 200)
+                    this->failed.push_back(fmt::format("request {}: {} {}", number, answer.status, answer.body));
+            }
+        }
+
+        Fleet& fleet;
+        const std::string entry;
+        std::atomic<int> count = 0;
+        std::atomic<bool> stopping = false;
+        std::vector<std::string> failed;
+        std::thread thread;
+    };
+
+    // Guards against a wave that takes a VM while requests run on it, takes both VMs of a pool at once, or does not
+    // bring them back.
+    TEST(WaveTest, waveRebootsBothVmsOfAPoolWithoutAFailedRequest)
+    {
+        Fleet fleet(2, "20");
+        fleet.setVms();
+        fleet.addEntry("e1");
+        fleet.addEntry("e2");
+        fleet.apply("[window always]\nstart = 00:00\nend = 00:00\n"
+                    "[wave weekly]\npools = quoting\nwindow = always\n[clock]\noffset = +00:00\n",
+            "50%");
+        for (const std::string name : { "e1", "e2" })
+            waitUntil(name + " serves", [&] { return fleet.get(name, fleet.key).status == 200; });
+        const auto port = fleet.addMaintainer("m1");
+        const auto waves = [&] {
+            const auto answer = exchange(port, { "GET", "/status", {}, "" });
+            return answer.status == 200 ? Json::parse(answer.body).at("waves") : Json::array();
+        };
+        waitUntil("the maintainer has written the VM rows", [&] {
+            return fleet.ctl({ "pools" }) == 0 && fleet.lastOutput.find("serving: q01, q02") != std::string::npos;
+        });
+        Caller first(fleet, "e1");
+        Caller second(fleet, "e2");
+        ASSERT_EQ(fleet.ctl({ "wave", "start", "weekly" }), 0) << fleet.lastOutput;
+        EXPECT_EQ(fleet.ctl({ "wave", "start", "weekly" }), 5) << fleet.lastOutput;
+        std::size_t mostDown = 0;
+        waitUntil("the wave is done", [&] {
+            const auto all = waves();
+            if (all.empty())
+                return false;
+            mostDown = std::max(mostDown, all.at(0).at("waits").size());
+            return all.at(0).at("state") == "done";
+        });
+        first.stop();
+        second.stop();
+        EXPECT_EQ(mostDown, 1U);
+        EXPECT_GT(first.sent(), 20);
+        EXPECT_GT(second.sent(), 20);
+        EXPECT_EQ(first.failures(), std::vector<std::string> {});
+        EXPECT_EQ(second.failures(), std::vector<std::string> {});
+        for (const std::string name : { "q01", "q02" })
+            EXPECT_EQ(fleet.vmIncarnation(name), 2U) << name;
+        ASSERT_EQ(fleet.ctl({ "wave", "status", "weekly" }), 0) << fleet.lastOutput;
+        EXPECT_NE(fleet.lastOutput.find("done: 2 of 2"), std::string::npos) << fleet.lastOutput;
+    }
+
+} // namespace
+} // namespace waxwinglug::test
