--- a/src/io/process/peer-socket.cpp
+++ b/src/io/process/peer-socket.cpp
@@ -48,7 +48,7 @@
     constexpr std::size_t mostQueuedBytes = 4 * MessageCodec::mostBytes;
     // For all peers: messages that the strand has not taken yet, so that a slow thread does not collect them.
     constexpr std::size_t mostPostedBytes = 16 * MessageCodec::mostBytes;
-    // Bounds what strangers can occupy; the fleet has fewer entry VMs than this by far.
+    // Bounds what unauthenticated connections can occupy; the fleet has fewer entry VMs than this by far.
     constexpr std::size_t mostIncoming = 512;
 
     // One WebSocket connection in either direction.
--- a/test/io/peer-socket-test.cpp
+++ b/test/io/peer-socket-test.cpp
@@ -174,20 +174,20 @@
 
     TEST(PeerSocketTest, anOversizedOrTextMessageEndsItsConnection)
     {
-        // Guards against a stranger that occupies memory; other connections must not notice.
+        // Guards against an unauthenticated connection that occupies memory; other connections must not notice.
         Node receiver;
         Node sender;
         for (const bool binary : { true, false }) {
             asio::io_context context;
-            websocket::stream<tcp::socket> stranger(context);
-            stranger.next_layer().connect({ asio::ip::address_v4::loopback(), receiver.address().port });
-            stranger.handshake("127.0.0.1", "/peer");
-            stranger.binary(binary);
+            websocket::stream<tcp::socket> connection(context);
+            connection.next_layer().connect({ asio::ip::address_v4::loopback(), receiver.address().port });
+            connection.handshake("127.0.0.1", "/peer");
+            connection.binary(binary);
             boost::system::error_code error;
-            stranger.write(asio::buffer(std::string(binary ? MessageCodec::mostBytes + 1 : 4, 'x')), error);
+            connection.write(asio::buffer(std::string(binary ? MessageCodec::mostBytes + 1 : 4, 'x')), error);
             boost::beast::flat_buffer buffer;
             error = {};
-            stranger.read(buffer, error);
+            connection.read(buffer, error);
             EXPECT_TRUE(error);
         }
         sender.socket->send(receiver.address(), "kept");
