Open listening sockets in one place

CallerServer and PeerSocket had the same steps from address to bound port, with the same error handling. listenOn() serves both; the messages and remedies stay as they were.

--- a/src/io/connection/caller-server.cpp
+++ b/src/io/connection/caller-server.cpp
@@ -1,6 +1,8 @@
 // Boost.Beast sessions, one coroutine per connection on a strand of the traffic context.
 #include "io/connection/caller-server.h"
 
+#include "io/connection/listen.h"
+
 #include <waxwinglug/error.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -341,22 +343,7 @@
 
 void CallerServer::Impl::listen(const Endpoint& endpoint)
 {
-    error_code error;
-    const tcp::endpoint address(asio::ip::make_address(endpoint.host, error), endpoint.port);
-    if (!error)
-        this->acceptor.open(address.protocol(), error);
-    if (!error)
-        this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        this->acceptor.bind(address, error);
-    if (!error)
-        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
-        throw Error(ErrorKind::Unavailable,
-            fmt::format("cannot listen on {}:{}: {}", endpoint.host, endpoint.port, error.message()),
-            "choose an address of this VM and a free port");
-    }
-    this->port = this->acceptor.local_endpoint().port();
+    this->port = listenOn(this->acceptor, endpoint, "", "choose an address of this VM and a free port");
     asio::co_spawn(this->acceptor.get_executor(), this->acceptLoop(), asio::detached);
 }
 
--- a/src/io/process/peer-socket.cpp
+++ b/src/io/process/peer-socket.cpp
@@ -1,6 +1,8 @@
 // Beast WebSocket connections; all of them live on one strand.
 #include "io/process/peer-socket.h"
 
+#include "io/connection/listen.h"
+
 #include <waxwinglug/error.h>
 #include <waxwinglug/message.h>
 
@@ -145,21 +147,7 @@
 
     void listen(const Endpoint& endpoint)
     {
-        error_code error;
-        const tcp::endpoint address(asio::ip::make_address(endpoint.host, error), endpoint.port);
-        if (!error)
-            this->acceptor.open(address.protocol(), error);
-        if (!error)
-            this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        if (!error)
-            this->acceptor.bind(address, error);
-        if (!error)
-            this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-        if (error)
-            throw Error(ErrorKind::Unavailable,
-                fmt::format("cannot listen for peers on {}:{}: {}", endpoint.host, endpoint.port, error.message()),
-                "set a free address under [listen] peers");
-        this->port = this->acceptor.local_endpoint().port();
+        this->port = listenOn(this->acceptor, endpoint, " for peers", "set a free address under [listen] peers");
     }
 
     asio::awaitable<void> acceptLoop()
