--- /dev/null
+++ b/include/waxwinglug/fleet-platform.h
@@ -0,0 +1,159 @@
+// What a platform adapter offers to the scheduler: the row store, orders to backend servers, the machine list, and the
+// decoding of what callers and operators send. Handlers run later on the event loop.
+#pragma once
+
+#include <waxwinglug/platform.h>
+#include <waxwinglug/server-orders.h>
+#include <waxwinglug/work.h>
+
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwinglug {
+
+// Rows live in tables; a table is divided into parts, and one transaction stays within one part.
+struct RowName {
+    std::string table;
+    std::string part;
+    std::string key;
+
+    auto operator<=>(const RowName&) const = default;
+};
+
+struct StoredRow {
+    RowName name;
+    std::string value;
+    std::uint64_t version = 0; // 0: the row does not exist
+    bool removed = false; // in changes: the row was removed
+};
+
+struct RowCondition {
+    RowName name;
+    std::uint64_t version = 0; // 0: the row must not exist
+};
+
+struct RowValue {
+    RowName name;
+    std::string value;
+};
+
+// Applied as a whole or not at all.
+struct RowTransaction {
+    std::vector<RowCondition> conditions;
+    std::vector<RowValue> writes;
+    std::vector<RowName> removals;
+};
+
+struct TransactionResult {
+    CommitStatus status = CommitStatus::Unavailable;
+    // With Committed: the version of every row written.
+    std::uint64_t version = 0;
+    // With Conflict: the current rows of the conditions.
+    std::vector<StoredRow> conflicts;
+};
+
+struct RowPage {
+    std::vector<StoredRow> rows;
+    bool more = false;
+    // Newest version in the store when the page was read.
+    std::uint64_t version = 0;
+};
+
+enum class FollowStatus {
+    Changes, // possibly none within the wait
+    HistoryGone, // changes were dropped; read the table again
+    NoAnswer,
+};
+
+struct FollowResult {
+    FollowStatus status = FollowStatus::NoAnswer;
+    std::vector<StoredRow> rows;
+    // Where to continue.
+    std::uint64_t version = 0;
+};
+
+struct RowStore {
+    std::function<void(RowTransaction, Duration deadline, std::function<void(TransactionResult)>)> commit;
+    // Rows of one table and part from a key on, up to but not including `end`; an empty end means no bound. Nothing:
+    // no answer.
+    std::function<void(
+        RowName from, std::string end, Duration deadline, std::function<void(std::optional<RowPage>)>)>
+        list;
+    // Changes of a table after a version, as soon as there is one or when the wait is over.
+    std::function<void(
+        std::string table, std::uint64_t after, Duration wait, std::function<void(FollowResult)>)>
+        follow;
+};
+
+struct ServerCalls {
+    std::function<void(const ServerRecord&, const StartOrder&, std::function<void(OrderStatus)>)> start;
+    std::function<void(const ServerRecord&, const StopOrder&, std::function<void(OrderStatus)>)> stop;
+    std::function<void(const ServerRecord&, const PaceOrder&, std::function<void(OrderStatus)>)> pace;
+    std::function<void(const ServerRecord&, const HoldOrder&, std::function<void(OrderStatus, HoldReport)>)> hold;
+};
+
+enum class MachineState {
+    Up,
+    Moving,
+    Upkeep,
+    Down,
+};
+
+struct MachineRecord {
+    std::string machine;
+    std::string pool;
+    MachineState state = MachineState::Down;
+    std::string server; // id of the server that lives on it; empty: none
+};
+
+enum class MachineOrderStatus {
+    Accepted, // also when it was carried out before
+    FenceTooLow,
+    Busy,
+    NotOfWave,
+    Refused, // too many calls, or the list is down; nothing was done
+    Invalid, // no such machine or pool
+    Unknown,
+};
+
+struct MachineCalls {
+    // All machines; nothing without a complete answer.
+    std::function<void(std::function<void(std::optional<std::vector<MachineRecord>>)>)> list;
+    std::function<void(
+        std::string machine, int wave, std::uint64_t fence, std::function<void(MachineOrderStatus)>)>
+        upkeep;
+    std::function<void(
+        std::string machine, std::string pool, std::uint64_t fence, std::function<void(MachineOrderStatus)>)>
+        move;
+};
+
+// Decoding and encoding of the platform's formats. Decoders return nothing for what is not of their kind or form.
+struct PlatformFormats {
+    // Tables that operators and backend servers write.
+    std::string operatorTable;
+    std::string serverTable;
+    // Name of the header that carries a caller's key, and of the one with its deadline in milliseconds.
+    std::string keyHeader;
+    std::string deadlineHeader;
+    std::function<std::optional<FleetConfig>(const StoredRow&)> config;
+    std::function<std::optional<MachineWave>(const StoredRow&)> wave;
+    std::function<std::optional<ServerRecord>(const StoredRow&)> server;
+    std::function<RowValue(const MachineWave&, bool completed)> waveStatus;
+    // Steps and command of a submitted job. Throws Error (Invalid).
+    std::function<JobSpec(std::string_view body)> job;
+    std::function<std::string(JobPhase)> state;
+    std::function<std::string(int waiting)> waiting;
+};
+
+struct FleetPlatform {
+    RowStore store;
+    ServerCalls servers;
+    MachineCalls machines;
+    PlatformFormats formats;
+};
+
+} // namespace waxwinglug
--- a/include/waxwinglug/settings.h
+++ b/include/waxwinglug/settings.h
@@ -49,6 +49,34 @@
     Duration slowStart { 0 };
 };
 
+// Settings of the scheduler on one entry VM. The platform renders them from a template.
+struct FleetNodeSettings {
+    std::string name;
+    std::string dataCentre;
+    Endpoint callers;
+    Endpoint health;
+    Endpoint operators;
+    Endpoint store;
+    Endpoint machines;
+    // Processor that this VM has, in thousandths of a core; larger VMs take the lead first.
+    int processor = 0;
+    // How long a stopping process may take.
+    Duration shutdownGrace { 0 };
+    // Longest lease that backend servers grant.
+    Duration longestLease { 0 };
+    // How long the state of an ended job can be asked for.
+    Duration keepEnded { 0 };
+    // How long a task that was away counts against its step.
+    Duration notice { 0 };
+    // Least time between orders of two different entry VMs for one machine.
+    Duration orderLease { 0 };
+    // Time that a maintenance, or a move between pools, takes a machine away.
+    Duration maintenanceTime { 0 };
+    Duration moveTime { 0 };
+    // Factor on the run time of a task away from its data.
+    double remoteFactor = 1;
+};
+
 // One line of the table that `--help` prints.
 struct SettingInfo {
     std::string_view section;
@@ -73,13 +101,15 @@
     std::vector<Problem> found;
 };
 
-// Both throw SettingsError with every problem found.
+// All throw SettingsError with every problem found.
 EntrySettings parseEntrySettings(std::string_view text, std::string_view file);
 MaintainSettings parseMaintainSettings(std::string_view text, std::string_view file);
+FleetNodeSettings parseFleetNodeSettings(std::string_view text, std::string_view file);
 
 // The settings of each program, in the order of the help text.
 std::vector<SettingInfo> entrySettingTable();
 std::vector<SettingInfo> maintainSettingTable();
+std::vector<SettingInfo> fleetNodeSettingTable();
 
 // The table as text, one setting per line, grouped by section.
 std::string describeSettings(std::span<const SettingInfo> table);
--- /dev/null
+++ b/src/io/connection/http-caller.cpp
@@ -0,0 +1,281 @@
+// Connections and queues of the HTTP client, over Boost.Beast.
+#include "io/connection/http-caller.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+#include <netinet/tcp.h>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace waxwinglug::io {
+namespace {
+
+    namespace asio = boost::asio;
+    namespace beast = boost::beast;
+    namespace http = beast::http;
+    using asio::ip::tcp;
+    using boost::system::error_code;
+
+    // The kernel gives up on a peer that acknowledges nothing for this long. Keepalive alone needs minutes.
+    constexpr int unacknowledgedTimeout = 2000; // ms
+    // Idle connections are closed after this time, well before servers close them (15 s by the platform's settings).
+    constexpr Duration longestIdle { 8000 };
+    // Answers of the store hold up to 1 MB of rows in base64.
+    constexpr std::uint64_t largestAnswer = 8ULL << 20;
+
+} // namespace
+
+class HttpCaller::Impl : public std::enable_shared_from_this<HttpCaller::Impl> {
+public:
+    class Connection;
+
+    struct Call {
+        HttpRequest request;
+        TimePoint deadline;
+        CallHandler handler;
+    };
+
+    // Connections and waiting calls of one address and lane.
+    struct Lane {
+        Endpoint address;
+        std::size_t limit = 1;
+        std::size_t open = 0;
+        std::deque<Call> queue;
+        std::deque<std::shared_ptr<Connection>> idle;
+        // Connections opened before this count are not used again.
+        std::uint64_t retiredBefore = 0;
+        std::uint64_t lastSerial = 0;
+    };
+
+    Impl(asio::io_context& io, Clock source)
+        : context(io)
+        , clock(std::move(source))
+    {
+    }
+
+    void call(const Endpoint& address, HttpRequest request, CallOptions options, CallHandler handler)
+    {
+        auto& lane = this->lanes[{ address, options.lane }];
+        lane.address = address;
+        lane.limit = std::max<std::size_t>(options.connections, 1);
+        lane.queue.push_back({ std::move(request), this->clock.now() + options.deadline, std::move(handler) });
+        this->pump(lane);
+    }
+
+    void pump(Lane& lane);
+    void closeIdle();
+
+    asio::io_context& context;
+    const Clock clock;
+    // Node-based, so that connections can refer to their lane.
+    std::map<std::pair<Endpoint, int>, Lane> lanes;
+    std::uint64_t connectionsOpened = 0;
+};
+
+// One connection and the call that uses it.
+class HttpCaller::Impl::Connection : public std::enable_shared_from_this<Connection> {
+public:
+    Connection(const std::shared_ptr<Impl>& caller, Lane& itsLane)
+        : owner(caller)
+        , lane(itsLane)
+        , serial(++itsLane.lastSerial)
+        , stream(caller->context)
+    {
+    }
+
+    void run(Call next)
+    {
+        this->call = std::move(next);
+        if (this->connected) {
+            this->send();
+            return;
+        }
+        error_code error;
+        const auto host = asio::ip::make_address(this->lane.address.host, error);
+        if (error)
+            return this->fail(CallStatus::NotSent, error.message());
+        this->startDeadline();
+        this->stream.async_connect(tcp::endpoint(host, this->lane.address.port),
+            [self = this->shared_from_this()](const error_code& connectError) { self->onConnect(connectError); });
+    }
+
+    std::uint64_t number() const { return this->serial; }
+    TimePoint idleSince() const { return this->idleFrom; }
+    // A peer that closed the connection, or sent bytes nobody asked for, has made it useless.
+    bool isUsable()
+    {
+        error_code error;
+        this->stream.socket().non_blocking(true, error);
+        char byte = 0;
+        this->stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+    void close()
+    {
+        error_code ignored; // closing is all that is left to do
+        this->stream.socket().close(ignored);
+    }
+
+private:
+    void startDeadline()
+    {
+        const auto caller = this->owner.lock();
+        const auto left = caller ? this->call->deadline - caller->clock.now() : Duration(0);
+        this->stream.expires_after(std::max(left, Duration(1)));
+    }
+
+    void onConnect(const error_code& error)
+    {
+        if (error)
+            return this->fail(CallStatus::NotSent, error.message());
+        this->connected = true;
+        error_code ignored; // both options only improve latency and detection
+        this->stream.socket().set_option(tcp::no_delay(true), ignored);
+        using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+        this->stream.socket().set_option(UserTimeout(unacknowledgedTimeout), ignored);
+        this->send();
+    }
+
+    void send()
+    {
+        auto& from = this->call->request;
+        this->request = {};
+        this->request.version(11);
+        this->request.method_string(from.method);
+        this->request.target(from.target);
+        this->request.set(http::field::host, fmt::format("{}:{}", this->lane.address.host, this->lane.address.port));
+        for (const auto& [name, value] : from.headers)
+            this->request.set(name, value);
+        this->request.body() = std::move(from.body);
+        this->request.prepare_payload();
+        this->startDeadline();
+        http::async_write(this->stream, this->request,
+            [self = this->shared_from_this()](const error_code& error, std::size_t) { self->onWrite(error); });
+    }
+
+    void onWrite(const error_code& error)
+    {
+        if (error)
+            return this->fail(CallStatus::Unknown, error.message());
+        this->parser.emplace();
+        this->parser->body_limit(largestAnswer);
+        http::async_read(this->stream, this->buffer, *this->parser,
+            [self = this->shared_from_this()](const error_code& readError, std::size_t) { self->onRead(readError); });
+    }
+
+    void onRead(const error_code& error)
+    {
+        if (error)
+            return this->fail(CallStatus::Unknown, error.message());
+        auto message = this->parser->release();
+        CallResult result { CallStatus::Answered, {}, {} };
+        result.response.status = static_cast<int>(message.result_int());
+        for (const auto& field : message)
+            result.response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        result.response.body = std::move(message.body());
+        const bool keep = message.keep_alive() && this->serial >= this->lane.retiredBefore;
+        this->finish(std::move(result), keep);
+    }
+
+    void fail(CallStatus status, std::string problem)
+    {
+        // Idle connections may be dead in the same way; new ones are tried instead.
+        this->lane.retiredBefore = this->lane.lastSerial + 1;
+        this->finish({ status, {}, std::move(problem) }, false);
+    }
+
+    void finish(CallResult result, bool keep)
+    {
+        const auto caller = this->owner.lock();
+        if (!caller)
+            return;
+        auto handler = std::move(this->call->handler);
+        this->call.reset();
+        this->stream.expires_never();
+        if (keep) {
+            this->idleFrom = caller->clock.now();
+            this->lane.idle.push_back(this->shared_from_this());
+        } else {
+            this->close();
+            --this->lane.open;
+        }
+        handler(std::move(result));
+        caller->pump(this->lane);
+    }
+
+    const std::weak_ptr<Impl> owner;
+    Lane& lane; // lives as long as the owner
+    const std::uint64_t serial;
+    beast::tcp_stream stream;
+    bool connected = false;
+    TimePoint idleFrom;
+    std::optional<Call> call;
+    http::request<http::string_body> request;
+    beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::string_body>> parser;
+};
+
+void HttpCaller::Impl::pump(Lane& lane)
+{
+    while (!lane.queue.empty()) {
+        std::shared_ptr<Connection> connection;
+        while (!lane.idle.empty() && !connection) {
+            auto candidate = std::move(lane.idle.back());
+            lane.idle.pop_back();
+            if (candidate->number() >= lane.retiredBefore && candidate->isUsable()) {
+                connection = std::move(candidate);
+            } else {
+                candidate->close();
+                --lane.open;
+            }
+        }
+        if (!connection && lane.open >= lane.limit)
+            return;
+        if (!connection) {
+            connection = std::make_shared<Connection>(this->shared_from_this(), lane);
+            ++lane.open;
+            ++this->connectionsOpened;
+        }
+        auto next = std::move(lane.queue.front());
+        lane.queue.pop_front();
+        connection->run(std::move(next));
+    }
+}
+
+void HttpCaller::Impl::closeIdle()
+{
+    const auto now = this->clock.now();
+    for (auto& [key, lane] : this->lanes) {
+        while (!lane.idle.empty() && now - lane.idle.front()->idleSince() > longestIdle) {
+            lane.idle.front()->close();
+            lane.idle.pop_front();
+            --lane.open;
+        }
+    }
+}
+
+HttpCaller::HttpCaller(asio::io_context& context, Clock clock)
+    : impl(std::make_shared<Impl>(context, std::move(clock)))
+{
+}
+
+HttpCaller::~HttpCaller() = default;
+
+void HttpCaller::call(const Endpoint& address, HttpRequest request, CallOptions options, CallHandler handler)
+{
+    this->impl->call(address, std::move(request), options, std::move(handler));
+}
+
+void HttpCaller::closeIdle() { this->impl->closeIdle(); }
+
+std::uint64_t HttpCaller::opened() const { return this->impl->connectionsOpened; }
+
+} // namespace waxwinglug::io
--- /dev/null
+++ b/src/io/process/job-gateway.h
@@ -0,0 +1,63 @@
+// Requests of callers about jobs: submit, state, cancel, and the length of a queue.
+//
+// Every entry VM answers from the store. A job or a cancellation is confirmed only when it is stored, and a job is
+// refused only when it is certain that it is not stored and never will be.
+#pragma once
+
+#include "io/connection/caller-server.h"
+
+#include <waxwinglug/fleet-platform.h>
+#include <waxwinglug/log-field.h>
+#include <waxwinglug/metrics.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace waxwinglug::io {
+
+struct GatewayHooks {
+    // The configuration in force; nullptr before the first one.
+    std::function<std::shared_ptr<const FleetConfig>()> config;
+    // Waiting jobs by queue on the VM that has the lead; nothing on others.
+    std::function<std::optional<std::map<std::string, int>>()> waiting;
+    LogHook log;
+};
+
+class JobGateway {
+public:
+    JobGateway(boost::asio::io_context& context, const FleetPlatform& platform, Clock clock, Metrics& metrics,
+        GatewayHooks hooks);
+
+    void handle(HttpRequest request, Respond respond);
+
+private:
+    struct Exchange;
+    using ExchangePtr = std::shared_ptr<Exchange>;
+
+    void submit(const ExchangePtr& exchange);
+    void commitJob(const ExchangePtr& exchange);
+    void readBack(const ExchangePtr& exchange);
+    void showState(const ExchangePtr& exchange);
+    void showPending(const ExchangePtr& exchange);
+    void cancel(const ExchangePtr& exchange);
+    void commitCancel(const ExchangePtr& exchange, std::uint64_t jobVersion);
+    void showWaiting(const ExchangePtr& exchange);
+    void retryLater(const ExchangePtr& exchange, void (JobGateway::*step)(const ExchangePtr&));
+    void answer(const ExchangePtr& exchange, int status, std::string body, std::string_view reason);
+    Duration left(const Exchange& exchange) const;
+
+    boost::asio::io_context& context;
+    const FleetPlatform& platform;
+    const Clock clock;
+    Metrics& metrics;
+    const GatewayHooks hooks;
+};
+
+} // namespace waxwinglug::io
--- a/src/io/process/log.h
+++ b/src/io/process/log.h
@@ -3,8 +3,7 @@
 #pragma once
 
 #include <waxwinglug/base.h>
-
-#include <fmt/format.h>
+#include <waxwinglug/log-field.h>
 
 #include <cstdint>
 #include <initializer_list>
@@ -22,19 +21,6 @@
     Error,
 };
 
-// One key=value pair of a log line.
-struct LogField {
-    template <typename T>
-    LogField(std::string_view name, const T& content)
-        : key(name)
-        , value(fmt::format("{}", content))
-    {
-    }
-
-    std::string_view key;
-    std::string value;
-};
-
 // Sets up the process-wide output; call once at start. Lines below `least` are not written. The stream must outlive
 // all logging.
 void startLogging(std::ostream& output, LogLevel least = LogLevel::Info);
--- /dev/null
+++ b/src/job/job-table.cpp
@@ -0,0 +1,248 @@
+// Progress of jobs: due occurrences, chains of steps, stored form.
+#include "job/job-table.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace waxwinglug::detail {
+namespace {
+
+    // Occurrences of one job that are open at the same time; later ones wait until one of them is complete.
+    constexpr std::size_t mostOpenOccurrences = 50;
+
+    Occurrence makeOccurrence(const Job& job, int number)
+    {
+        Occurrence occurrence;
+        occurrence.number = number;
+        occurrence.due = job.dueAt(number);
+        for (const auto& step : job.spec.steps) {
+            StepProgress progress;
+            progress.tasks.resize(static_cast<std::size_t>(step.count));
+            progress.waiting = step.count;
+            occurrence.steps.push_back(std::move(progress));
+        }
+        return occurrence;
+    }
+
+    std::string taskKey(std::size_t step, std::size_t index) { return fmt::format("{}.{}", step, index); }
+
+    Json saveOccurrence(const Occurrence& occurrence)
+    {
+        Json done = Json::array();
+        Json failures = Json::object();
+        Json checkpoints = Json::object();
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            std::string bits;
+            const auto& tasks = occurrence.steps[step].tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                const auto& task = tasks[index];
+                bits += task.phase == TaskPhase::Done ? '1' : '0';
+                if (task.failures > 0)
+                    failures[taskKey(step, index)] = { task.failures, task.lastFailedRun };
+                if (!task.checkpoint.empty() && task.phase != TaskPhase::Done)
+                    checkpoints[taskKey(step, index)] = task.checkpoint;
+            }
+            done.push_back(std::move(bits));
+        }
+        Json json { { "number", occurrence.number }, { "done", std::move(done) } };
+        if (!failures.empty())
+            json["failures"] = std::move(failures);
+        if (!checkpoints.empty())
+            json["checkpoints"] = std::move(checkpoints);
+        return json;
+    }
+
+    Task* findTask(Occurrence& occurrence, std::string_view key)
+    {
+        std::size_t step = 0;
+        std::size_t index = 0;
+        const auto* end = key.data() + key.size();
+        const auto first = std::from_chars(key.data(), end, step);
+        if (first.ec != std::errc {} || first.ptr == end)
+            return nullptr;
+        std::from_chars(first.ptr + 1, end, index);
+        if (step >= occurrence.steps.size() || index >= occurrence.steps[step].tasks.size())
+            return nullptr;
+        return &occurrence.steps[step].tasks[index];
+    }
+
+    void loadOccurrence(Occurrence& occurrence, const Json& json)
+    {
+        const auto& done = json.at("done");
+        for (std::size_t step = 0; step < occurrence.steps.size() && step < done.size(); ++step) {
+            const auto bits = done[step].get<std::string>();
+            auto& progress = occurrence.steps[step];
+            for (std::size_t index = 0; index < progress.tasks.size() && index < bits.size(); ++index) {
+                if (bits[index] == '1')
+                    setPhase(progress, progress.tasks[index], TaskPhase::Done);
+            }
+        }
+        if (json.contains("failures")) {
+            for (const auto& [key, count] : json["failures"].items()) {
+                if (auto* task = findTask(occurrence, key)) {
+                    task->failures = count.at(0).get<int>();
+                    task->lastFailedRun = count.at(1).get<int>();
+                    task->run = task->lastFailedRun;
+                }
+            }
+        }
+        if (json.contains("checkpoints")) {
+            for (const auto& [key, text] : json["checkpoints"].items()) {
+                if (auto* task = findTask(occurrence, key))
+                    task->checkpoint = text.get<std::string>();
+            }
+        }
+    }
+
+    void loadProgress(Job& job, const Json& json)
+    {
+        const auto state = parsePhase(json.at("state").get<std::string>());
+        if (!state)
+            throw Error(ErrorKind::Invalid, "unknown job state", "check that all nodes run the same version");
+        job.state = *state;
+        job.nextOccurrence = json.at("next").get<int>();
+        job.open.clear();
+        for (const auto& each : json.at("open")) {
+            const int number = each.at("number").get<int>();
+            auto occurrence = makeOccurrence(job, number);
+            loadOccurrence(occurrence, each);
+            job.open.emplace(number, std::move(occurrence));
+        }
+    }
+
+} // namespace
+
+bool Occurrence::isComplete() const
+{
+    return std::ranges::all_of(this->steps, [](const auto& step) { return step.isComplete(); });
+}
+
+bool Occurrence::isReady(const JobSpec& spec, std::size_t step) const
+{
+    return std::ranges::all_of(
+        spec.steps[step].after, [this](int earlier) { return this->steps[static_cast<std::size_t>(earlier)].isComplete(); });
+}
+
+Duration Occurrence::remainingChain(const JobSpec& spec) const
+{
+    // Steps name only earlier ones, so one pass in order sees every predecessor first.
+    std::vector<Duration> ends(spec.steps.size());
+    Duration longest { 0 };
+    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        Duration start { 0 };
+        for (const int earlier : spec.steps[step].after)
+            start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
+        ends[step] = start + (this->steps[step].isComplete() ? Duration(0) : spec.steps[step].estimate);
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
+}
+
+bool Job::isLasting() const
+{
+    return std::ranges::any_of(this->spec.steps, [](const auto& step) { return step.lasting; });
+}
+
+Task* Job::find(const TaskId& id)
+{
+    const auto occurrence = this->open.find(id.occurrence);
+    if (occurrence == this->open.end() || id.step < 0 || id.index < 0)
+        return nullptr;
+    const auto step = static_cast<std::size_t>(id.step);
+    const auto index = static_cast<std::size_t>(id.index);
+    if (step >= occurrence->second.steps.size() || index >= occurrence->second.steps[step].tasks.size())
+        return nullptr;
+    return &occurrence->second.steps[step].tasks[index];
+}
+
+WallTime Job::dueAt(int occurrence) const
+{
+    if (this->spec.occurrences == 0)
+        return this->spec.acceptedAt;
+    return this->spec.first + this->spec.interval * occurrence;
+}
+
+Duration Job::chain() const
+{
+    std::vector<Duration> ends;
+    Duration longest { 0 };
+    for (const auto& step : this->spec.steps) {
+        Duration start { 0 };
+        for (const int earlier : step.after)
+            start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
+        ends.push_back(start + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+WallTime Job::objective(const Occurrence& occurrence) const
+{
+    const auto allowed = this->stretch * static_cast<double>(this->chain().count());
+    return occurrence.due + Duration(static_cast<std::int64_t>(allowed)) + this->slack;
+}
+
+bool JobTable::add(JobSpec spec)
+{
+    const auto id = spec.id;
+    const auto [place, added] = this->jobs.try_emplace(id);
+    if (added) {
+        place->second = std::make_unique<Job>();
+        place->second->spec = std::move(spec);
+    }
+    return added;
+}
+
+Job* JobTable::find(std::string_view id)
+{
+    const auto job = this->jobs.find(std::string(id));
+    return job == this->jobs.end() ? nullptr : job->second.get();
+}
+
+void JobTable::remove(std::string_view id) { this->jobs.erase(std::string(id)); }
+
+void JobTable::load(Job& job, std::string_view text, std::uint64_t rowVersion)
+{
+    try {
+        loadProgress(job, Json::parse(text));
+    } catch (const Json::exception& error) {
+        throw Error(ErrorKind::Invalid, error.what(), "check that all nodes run the same version");
+    }
+    job.rowVersion = rowVersion;
+}
+
+std::string JobTable::save(const Job& job)
+{
+    Json open = Json::array();
+    if (!job.isOver()) {
+        for (const auto& [number, occurrence] : job.open)
+            open.push_back(saveOccurrence(occurrence));
+    }
+    return Json { { "state", phaseName(job.state) }, { "next", job.nextOccurrence }, { "open", std::move(open) } }
+        .dump();
+}
+
+bool JobTable::openDue(Job& job, WallTime now)
+{
+    bool opened = false;
+    while (!job.isOver() && job.nextOccurrence < job.occurrenceCount() && job.open.size() < mostOpenOccurrences
+        && job.dueAt(job.nextOccurrence) <= now) {
+        const int number = job.nextOccurrence++;
+        job.open.emplace(number, makeOccurrence(job, number));
+        opened = true;
+    }
+    return opened;
+}
+
+void setPhase(StepProgress& step, Task& task, TaskPhase phase)
+{
+    if (task.phase == phase)
+        return;
+    step.waiting += (phase == TaskPhase::Waiting ? 1 : 0) - (task.phase == TaskPhase::Waiting ? 1 : 0);
+    step.done += (phase == TaskPhase::Done ? 1 : 0) - (task.phase == TaskPhase::Done ? 1 : 0);
+    task.phase = phase;
+}
+
+} // namespace waxwinglug::detail
--- /dev/null
+++ b/src/job/job-table.h
@@ -0,0 +1,128 @@
+// The jobs that the lead scheduler knows: what has been done of each, what can start, and the text that is stored of it.
+#pragma once
+
+#include <waxwinglug/work.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace waxwinglug::detail {
+
+struct Server;
+
+enum class TaskPhase {
+    Waiting,
+    Starting, // a start is on its way
+    Doubtful, // a start was not answered and may still be carried out
+    Running,
+    Stopping, // a stop is on its way or being carried out
+    Done,
+    Failed,
+};
+
+struct Task {
+    TaskPhase phase = TaskPhase::Waiting;
+    // Number of the latest start. Rises with each start, across changes of the lead scheduler.
+    int run = 0;
+    // Runs that ended as failed and were stored or are about to be.
+    int failures = 0;
+    // Stored with the failures, so that the next lead does not count the same end again.
+    int lastFailedRun = 0;
+    // Empty: none.
+    std::string checkpoint;
+    // Set from Starting to Stopping, nullptr otherwise.
+    Server* server = nullptr;
+    TimePoint startedAt;
+    // When the backend server confirmed the start; reports that were asked for earlier may not show the run.
+    TimePoint confirmedAt;
+    TimePoint stopSentAt;
+    // The latest stop was confirmed.
+    bool stopConfirmed = false;
+    // Not started before this moment.
+    TimePoint notBefore;
+    int percent = 0;
+    TimePoint percentChangedAt;
+    // Share of full speed that a filling task is held at.
+    int pace = 100;
+    // The server where the last run failed or stood still; avoided while another one has room.
+    std::string avoid;
+};
+
+struct StepProgress {
+    std::vector<Task> tasks;
+    int done = 0;
+    int waiting = 0; // tasks in phase Waiting
+    bool isComplete() const { return this->done == static_cast<int>(this->tasks.size()); }
+};
+
+struct Occurrence {
+    int number = 0;
+    WallTime due {};
+    std::vector<StepProgress> steps;
+    bool isComplete() const;
+    // All steps that this one waits for are complete.
+    bool isReady(const JobSpec& spec, std::size_t step) const;
+    // Declared time of the longest chain of tasks that are not done.
+    Duration remainingChain(const JobSpec& spec) const;
+};
+
+struct Job {
+    JobSpec spec;
+    JobPhase state = JobPhase::Pending;
+    // Occurrences that are due and not complete. Every number below nextOccurrence that is not here is complete.
+    std::map<int, Occurrence> open;
+    int nextOccurrence = 0;
+    // Version of the stored progress row; 0: none is stored.
+    std::uint64_t rowVersion = 0;
+    // Position in the order of changes that are not stored yet; 0: all is stored.
+    std::uint64_t dirtyTicket = 0;
+    // The queue's rules as last configured; they outlive a queue that was removed.
+    std::string service;
+    int priority = 0;
+    int retries = 1;
+    double stretch = 1;
+    Duration slack { 0 };
+    bool needsAdvice = false;
+    // When the job reached a final state; rows are removed some time later.
+    TimePoint endedAt;
+
+    bool isLasting() const;
+    bool isOver() const { return isFinal(this->state); }
+    Task* find(const TaskId& id);
+    int occurrenceCount() const { return this->spec.occurrences > 0 ? this->spec.occurrences : 1; }
+    WallTime dueAt(int occurrence) const;
+    // The moment until which an occurrence earns its full worth.
+    WallTime objective(const Occurrence& occurrence) const;
+    // Declared time of the longest chain of all steps.
+    Duration chain() const;
+};
+
+class JobTable {
+public:
+    // False when the job is known already.
+    bool add(JobSpec spec);
+    Job* find(std::string_view id);
+    void remove(std::string_view id);
+    // Takes over what was stored of a job. Throws Error (Invalid) when the text has another form.
+    static void load(Job& job, std::string_view text, std::uint64_t rowVersion);
+    static std::string save(const Job& job);
+
+    // Makes the occurrences that are due available. Returns true when there is a new one.
+    static bool openDue(Job& job, WallTime now);
+
+    const std::unordered_map<std::string, std::unique_ptr<Job>>& all() const { return this->jobs; }
+
+private:
+    std::unordered_map<std::string, std::unique_ptr<Job>> jobs;
+};
+
+// Changes the phase and keeps the counts of the step.
+void setPhase(StepProgress& step, Task& task, TaskPhase phase);
+
+} // namespace waxwinglug::detail
--- /dev/null
+++ b/src/job/leadership.cpp
@@ -0,0 +1,136 @@
+// The lead and beat rows, and when to take the lead.
+#include "job/leadership.h"
+
+#include <waxwinglug/json.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace waxwinglug {
+namespace {
+
+    constexpr const char* leadKey = "lead";
+    constexpr const char* beatKey = "beat";
+    // A store that has not answered for this long says nothing about the lead. Longer than one wait for changes.
+    constexpr Duration freshness { 1300 };
+    constexpr int fullProcessor = 1000; // thousandths of a core
+
+    RowName rowName(const char* key) { return { Leadership::table, Leadership::part, key }; }
+
+    Duration delayFor(const LeadTimes& times, int processor, Random& random)
+    {
+        const auto missing = std::clamp(fullProcessor - processor, 0, fullProcessor);
+        const auto spread = std::uniform_int_distribution<std::int64_t>(0, times.spread.count())(random);
+        return Duration(times.smallVmDelay.count() * missing / fullProcessor + spread);
+    }
+
+} // namespace
+
+Leadership::Leadership(LeadTimes leadTimes, Clock source, std::string nodeName, int processor, Random& randomSource)
+    : times(leadTimes)
+    , clock(std::move(source))
+    , node(std::move(nodeName))
+    , delay(delayFor(leadTimes, processor, randomSource))
+    , random(randomSource)
+    , beatSeenAt(clock.now())
+{
+}
+
+void Leadership::observe(std::span<const StoredRow> rows)
+{
+    this->heardStore();
+    this->seenTable = true;
+    for (const auto& row : rows) {
+        const auto json = Json::parse(row.value, nullptr, false);
+        if (row.removed || !json.is_object())
+            continue;
+        if (row.name.key == leadKey && row.version > this->leadVersion) {
+            this->leadVersion = row.version;
+            this->knownFence = json.value("fence", std::uint64_t(0));
+            this->knownHolder = json.value("node", "");
+            this->released = false;
+            this->beatSeenAt = this->clock.now();
+            const auto nonce = json.value("attempt", "");
+            this->leading = !this->attempt.empty() && nonce == this->attempt && nonce != this->finishedAttempt;
+            if (this->leading)
+                this->confirmedAt = this->clock.now();
+        } else if (row.name.key == beatKey && json.value("fence", std::uint64_t(0)) == this->knownFence) {
+            this->released = json.value("released", false);
+            this->beatSeenAt = this->clock.now();
+        }
+    }
+}
+
+bool Leadership::shouldTake() const
+{
+    const auto now = this->clock.now();
+    if (this->leading || this->taking || !this->seenTable || now - this->heardAt > freshness)
+        return false;
+    const bool vacant = this->knownFence == 0 || this->released;
+    return now - this->beatSeenAt >= (vacant ? Duration(0) : this->times.silence) + this->delay;
+}
+
+RowTransaction Leadership::take()
+{
+    this->taking = true;
+    this->attempt = fmt::format("{}-{}", this->node, this->random());
+    const auto fence = this->knownFence + 1;
+    RowTransaction transaction;
+    transaction.conditions.push_back({ rowName(leadKey), this->leadVersion });
+    transaction.writes.push_back({ rowName(leadKey),
+        Json { { "fence", fence }, { "node", this->node }, { "attempt", this->attempt } }.dump() });
+    this->beatSentAt = this->clock.now();
+    return transaction;
+}
+
+void Leadership::takeAnswered(const TransactionResult& result)
+{
+    this->taking = false;
+    // After a conflict or a lost answer the changes of the table tell who leads.
+    if (result.status != CommitStatus::Committed) {
+        this->observe(result.conflicts);
+        return;
+    }
+    if (result.version <= this->leadVersion)
+        return;
+    this->leadVersion = result.version;
+    ++this->knownFence;
+    this->knownHolder = this->node;
+    this->released = false;
+    this->leading = true;
+    this->confirmedAt = this->beatSentAt;
+    this->beatSeenAt = this->clock.now();
+}
+
+RowCondition Leadership::condition() const { return { rowName(leadKey), this->leadVersion }; }
+
+bool Leadership::beatIsDue() const { return this->clock.now() - this->beatSentAt >= this->times.beat; }
+
+RowValue Leadership::beat(bool release)
+{
+    this->beatSentAt = this->clock.now();
+    return { rowName(beatKey),
+        Json { { "fence", this->knownFence }, { "count", ++this->beats }, { "released", release } }.dump() };
+}
+
+void Leadership::confirmed(TimePoint sentAt) { this->confirmedAt = std::max(this->confirmedAt, sentAt); }
+
+bool Leadership::isValid() const
+{
+    return this->leading && this->clock.now() - this->confirmedAt < this->times.validity;
+}
+
+bool Leadership::mayHold() const
+{
+    return this->leading && this->clock.now() - this->confirmedAt < this->times.holdWithoutStore;
+}
+
+void Leadership::stepDown()
+{
+    this->leading = false;
+    this->finishedAttempt = this->attempt;
+    this->beatSeenAt = this->clock.now();
+}
+
+} // namespace waxwinglug
--- /dev/null
+++ b/src/job/leadership.h
@@ -0,0 +1,90 @@
+// Decides which entry VM has the lead of the scheduler. No I/O: the rows come in as calls, transactions go out as values.
+//
+// Two rows of the store carry the lead. The lead row names its holder and a fence that rises with each holder; every
+// transaction of the lead is conditional on its version, so the store refuses a former lead. The beat row changes while
+// the lead works. A VM that hears the store but sees no new beat for a while takes the lead; that is safe at any moment,
+// because backend servers refuse the orders of a lower fence.
+#pragma once
+
+#include <waxwinglug/fleet-platform.h>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace waxwinglug {
+
+struct LeadTimes {
+    // Time between two beats; each costs one write.
+    Duration beat { 400 };
+    // A beat this old means that the lead is gone. Four beats, so that a lost answer or a slow store does not matter.
+    Duration silence { 1600 };
+    // The lead starts nothing when its last confirmed transaction began longer ago than this; shorter than `silence`,
+    // so that a lead that was paused has stopped before another one begins.
+    Duration validity { 1300 };
+    // The lead keeps running work alive for this long without the store.
+    Duration holdWithoutStore { 4000 };
+    // Part of `silence` that a VM with little processor waits longer, so that large VMs take the lead first.
+    Duration smallVmDelay { 200 };
+    // Random part, so that VMs of one size do not all try at once.
+    Duration spread { 80 };
+};
+
+class Leadership {
+public:
+    static constexpr const char* table = "lead";
+    // The part that all rows of the scheduler share, because one transaction cannot span parts.
+    static constexpr const char* part = "scheduler";
+
+    Leadership(LeadTimes times, Clock clock, std::string node, int processor, Random& random);
+
+    // Rows of the table, as a whole or as changes.
+    void observe(std::span<const StoredRow> rows);
+    // The store answered; without this a silent store would look like a silent lead.
+    void heardStore() { this->heardAt = this->clock.now(); }
+
+    bool leads() const { return this->leading; }
+    // Number of the lead that is known to be the latest.
+    std::uint64_t fence() const { return this->knownFence; }
+    const std::string& holder() const { return this->knownHolder; }
+
+    bool shouldTake() const;
+    RowTransaction take();
+    void takeAnswered(const TransactionResult& result);
+
+    // Part of every transaction of the lead.
+    RowCondition condition() const;
+    bool beatIsDue() const;
+    RowValue beat(bool released);
+    // A transaction of the lead that began at this moment was committed.
+    void confirmed(TimePoint sentAt);
+    // True while no other VM can have taken the lead.
+    bool isValid() const;
+    // True while running work is still kept alive.
+    bool mayHold() const;
+    void stepDown();
+
+private:
+    const LeadTimes times;
+    const Clock clock;
+    const std::string node;
+    const Duration delay;
+    Random& random;
+    bool leading = false;
+    bool taking = false;
+    bool seenTable = false;
+    std::uint64_t leadVersion = 0;
+    std::uint64_t knownFence = 0;
+    std::string knownHolder;
+    std::string attempt; // nonce of the last attempt to take the lead
+    std::string finishedAttempt; // an attempt that led and has ended
+    std::uint64_t beats = 0;
+    bool released = false;
+    TimePoint beatSeenAt;
+    TimePoint heardAt;
+    TimePoint confirmedAt;
+    TimePoint beatSentAt;
+};
+
+} // namespace waxwinglug
--- /dev/null
+++ b/src/job/orders.cpp
@@ -0,0 +1,248 @@
+// Orders to backend servers: starts, stops, holds, and what their answers mean.
+#include "job/scheduler.h"
+
+#include <algorithm>
+
+namespace waxwinglug {
+
+using detail::Job;
+using detail::Occurrence;
+using detail::Run;
+using detail::Server;
+using detail::Task;
+using detail::TaskPhase;
+
+namespace {
+
+    // Run numbers of one lead are below this; the next lead's are above, so they rise without a stored count.
+    constexpr std::uint64_t runsPerLead = 10'000;
+    // Pause before a stop without an answer is sent again: a few round trips, below the time a stop may take.
+    constexpr Duration stopRepeat { 300 };
+    // Pause between hold calls to a server that does not answer.
+    constexpr Duration holdRepeat { 250 };
+    // A server whose ends are not stored yet would answer at once; this is the pause while the store is slow.
+    constexpr Duration unstoredPause { 150 };
+    // Pause before a task is started again after a refused start.
+    constexpr Duration refusedPause { 100 };
+    // Pause before new starts at a server that has refused one for its health or room.
+    constexpr Duration unhealthyPause { 400 };
+
+} // namespace
+
+int JobScheduler::nextRun(const detail::StepProgress& step) const
+{
+    const int base = static_cast<int>((this->rules.fence - 1) * runsPerLead);
+    int highest = base;
+    for (const auto& task : step.tasks)
+        highest = std::max(highest, task.run);
+    return highest + 1;
+}
+
+void JobScheduler::startTask(
+    Job& job, Occurrence& occurrence, std::size_t step, std::size_t index, Server& server, int run)
+{
+    auto& progress = occurrence.steps[step];
+    auto& task = progress.tasks[index];
+    const auto now = this->clock.now();
+    const TaskId id { job.spec.id, occurrence.number, static_cast<int>(step), static_cast<int>(index) };
+    setPhase(progress, task, TaskPhase::Starting);
+    task.run = run;
+    task.server = &server;
+    task.startedAt = now;
+    task.percent = 0;
+    task.percentChangedAt = now;
+    task.pace = 100;
+    task.stopConfirmed = false;
+    const auto room = roomNeeded(job.spec.steps[step]);
+    server.used += room;
+    this->teamUse[job.spec.team] += job.spec.steps[step].need;
+    server.runs.insert_or_assign(id, Run { &job, occurrence.number, static_cast<int>(step), &task, run, room, 0 });
+    const auto until = server.clockAt(now) + this->rules.startValidity.count();
+    server.leaseUntil = std::max(server.leaseUntil, until);
+    this->hooks.log("task started",
+        { { "job", job.spec.id }, { "task", fmt::format("{}.{}.{}", id.occurrence, id.step, id.index) }, { "run", run },
+            { "server", server.record.id }, { "report_age_ms", (now - server.reportAt).count() },
+            { "free_cpu", server.free().cpu } });
+    this->hooks.start(
+        server.record, { id, run, job.spec.command, until, this->rules.fence, task.checkpoint, std::string() });
+}
+
+void JobScheduler::startAnswered(std::string_view serverId, const TaskId& id, int runNumber, OrderStatus status)
+{
+    const auto place = this->serverMap.find(serverId);
+    if (place == this->serverMap.end())
+        return;
+    auto& server = *place->second;
+    const auto run = server.runs.find(id);
+    if (status == OrderStatus::FenceTooLow)
+        this->superseded(server);
+    if (run == server.runs.end() || run->second.number != runNumber)
+        return;
+    auto& task = *run->second.task;
+    if (task.phase != TaskPhase::Starting)
+        return;
+    auto& job = *run->second.job;
+    const auto now = this->clock.now();
+    auto& step = job.open.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
+    if (status == OrderStatus::Accepted) {
+        setPhase(step, task, TaskPhase::Running);
+        task.confirmedAt = now;
+        if (job.state == JobPhase::Pending) {
+            job.state = JobPhase::Running;
+            this->markUnsaved(job);
+        }
+        return;
+    }
+    this->hooks.log("start was not confirmed",
+        { { "job", id.job }, { "task", fmt::format("{}.{}.{}", id.occurrence, id.step, id.index) },
+            { "run", runNumber }, { "server", serverId }, { "status", statusName(status) } });
+    if (status == OrderStatus::Unknown) {
+        setPhase(step, task, TaskPhase::Doubtful);
+        task.confirmedAt = now;
+        return;
+    }
+    if (status == OrderStatus::Unhealthy || status == OrderStatus::NoRoom || status == OrderStatus::NotSent)
+        server.refusesUntil = now + unhealthyPause;
+    if (status == OrderStatus::Unhealthy)
+        this->noteTrouble(server, job, "it refused a start");
+    this->releaseRun(server, run);
+    task.notBefore = now + refusedPause;
+    if (status == OrderStatus::OtherLife)
+        this->endLife(server, "another server has its address");
+}
+
+void JobScheduler::requestStop(Server& server, const TaskId& id, Run& run, std::string_view reason)
+{
+    auto& task = *run.task;
+    if (task.phase == TaskPhase::Stopping)
+        return;
+    auto& step = run.job->open.at(run.occurrence).steps[static_cast<std::size_t>(run.step)];
+    setPhase(step, task, TaskPhase::Stopping);
+    task.stopConfirmed = false;
+    this->hooks.log("task is stopped",
+        { { "job", id.job }, { "task", fmt::format("{}.{}.{}", id.occurrence, id.step, id.index) },
+            { "run", run.number }, { "server", server.record.id }, { "reason", reason } });
+    this->sendStop(server, id, run);
+}
+
+void JobScheduler::sendStop(Server& server, const TaskId& id, Run& run)
+{
+    run.task->stopSentAt = this->clock.now();
+    this->hooks.stop(server.record, { id, run.number, this->rules.fence });
+}
+
+void JobScheduler::stopAnswered(std::string_view serverId, const TaskId& id, int runNumber, OrderStatus status)
+{
+    const auto place = this->serverMap.find(serverId);
+    if (place == this->serverMap.end())
+        return;
+    auto& server = *place->second;
+    if (status == OrderStatus::FenceTooLow)
+        this->superseded(server);
+    if (status == OrderStatus::OtherLife) {
+        this->endLife(server, "another server has its address");
+        return;
+    }
+    if (const auto stray = server.strays.find(id); stray != server.strays.end() && status == OrderStatus::Accepted)
+        server.strays.erase(stray);
+    const auto run = server.runs.find(id);
+    if (run == server.runs.end() || run->second.number != runNumber || status != OrderStatus::Accepted)
+        return;
+    run->second.task->stopConfirmed = true;
+    run->second.task->confirmedAt = this->clock.now();
+}
+
+void JobScheduler::repeatStops()
+{
+    const auto now = this->clock.now();
+    for (auto& [serverId, server] : this->serverMap) {
+        if (!server->reachable())
+            continue;
+        for (auto& [id, run] : server->runs) {
+            auto& task = *run.task;
+            if (task.phase == TaskPhase::Stopping && !task.stopConfirmed && now - task.stopSentAt > stopRepeat)
+                this->sendStop(*server, id, run);
+        }
+    }
+}
+
+void JobScheduler::sendDueHolds()
+{
+    const auto now = this->clock.now();
+    for (auto& [id, server] : this->serverMap) {
+        if (!server->holding && now >= server->nextHoldAt)
+            this->sendHold(*server);
+    }
+}
+
+void JobScheduler::sendHold(Server& server)
+{
+    HoldOrder order;
+    order.fence = this->rules.fence;
+    order.storedEnds = server.storedEnds;
+    if (server.answered) {
+        const auto until = server.clockAt(this->clock.now()) + this->rules.lease.count();
+        order.leaseUntil = until;
+        server.leaseUntil = std::max(server.leaseUntil, until);
+    }
+    // A server with runs in an unclear phase is asked for its lists at once.
+    const bool unclear = std::ranges::any_of(server.runs, [](const auto& entry) {
+        return entry.second.task->phase == TaskPhase::Doubtful
+            || (entry.second.task->phase == TaskPhase::Stopping && entry.second.task->stopConfirmed);
+    });
+    const bool waits = server.reachable() && server.unstoredEnds.empty();
+    if (waits)
+        order.wait = unclear ? Duration(100) : this->rules.holdWait;
+    server.holding = true;
+    this->hooks.hold(server.record, order);
+}
+
+void JobScheduler::holdAnswered(std::string_view serverId, TimePoint sentAt, OrderStatus status, const HoldReport& report)
+{
+    const auto place = this->serverMap.find(serverId);
+    if (place == this->serverMap.end())
+        return;
+    auto& server = *place->second;
+    const auto now = this->clock.now();
+    server.holding = false;
+    if (status != OrderStatus::Accepted) {
+        if (server.missedHolds++ == 0)
+            this->hooks.log("backend server does not answer",
+                { { "server", serverId }, { "status", statusName(status) }, { "runs", server.runs.size() },
+                    { "lease_left_ms", server.leaseUntil - server.clockAt(now) } });
+        server.nextHoldAt = now + holdRepeat;
+        if (status == OrderStatus::FenceTooLow)
+            this->superseded(server);
+        if (status == OrderStatus::OtherLife)
+            this->endLife(server, "another server has its address");
+        return;
+    }
+    if (report.startedAt && server.record.startedAt != WallTime {} && *report.startedAt != server.record.startedAt) {
+        this->endLife(server, "the server has started again");
+        server.record.startedAt = *report.startedAt;
+    }
+    if (server.missedHolds > 0 && server.answered)
+        this->hooks.log("backend server answers again", { { "server", serverId }, { "missed", server.missedHolds } });
+    server.answered = true;
+    server.inherited = false;
+    server.missedHolds = 0;
+    server.reportAt = now;
+    server.reportClock = report.clock;
+    for (const auto& ended : report.ended)
+        this->applyEnd(server, ended);
+    for (const auto& running : report.running)
+        this->applyRunning(server, running, sentAt);
+    this->applyMissing(server, sentAt, report);
+    this->adjustPaces(server);
+    this->advanceStoredEnds();
+    server.nextHoldAt = server.unstoredEnds.empty() ? now : now + unstoredPause;
+}
+
+void JobScheduler::superseded(const Server& server)
+{
+    this->hooks.log("a backend server has seen a later fence",
+        { { "server", server.record.id }, { "fence", this->rules.fence } });
+    this->hooks.superseded();
+}
+
+} // namespace waxwinglug
--- /dev/null
+++ b/src/job/placement.cpp
@@ -0,0 +1,270 @@
+// Which task starts next, and on which backend server.
+//
+// Lasting tasks come first, because every moment without them is lost. Then jobs that can still reach their objective,
+// the one with the earliest objective first; then those that are late, and last those that no longer earn anything.
+#include "job/scheduler.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace waxwinglug {
+
+using detail::Job;
+using detail::Occurrence;
+using detail::Run;
+using detail::Server;
+using detail::Task;
+using detail::TaskPhase;
+
+namespace {
+
+    // Ranks of ready steps; lower ones start first.
+    enum Rank : int {
+        LastingRank,
+        InTimeRank,
+        LateRank,
+        OverdueRank,
+        RetryRank,
+        FillingRank,
+    };
+
+    // Jobs that end after this multiple of their allowed time earn nothing more by ending sooner.
+    constexpr int lateFactor = 3;
+
+    bool hasLabel(const ServerRecord& server, std::string_view label)
+    {
+        return label.empty() || std::ranges::find(server.labels, label) != server.labels.end();
+    }
+
+    bool isServing(const Run& run)
+    {
+        return run.job->spec.steps[static_cast<std::size_t>(run.step)].latencyTarget > Duration(0);
+    }
+
+    bool isFilling(const Run& run) { return run.job->spec.steps[static_cast<std::size_t>(run.step)].fills; }
+
+    int rankOf(const Job& job, const Occurrence& occurrence, const StepSpec& step, WallTime now)
+    {
+        if (step.lasting)
+            return step.fills ? FillingRank : LastingRank;
+        const auto objective = job.objective(occurrence);
+        const auto end = now + occurrence.remainingChain(job.spec);
+        if (end <= objective)
+            return InTimeRank;
+        if (end <= occurrence.due + (objective - occurrence.due) * lateFactor)
+            return LateRank;
+        return OverdueRank;
+    }
+
+} // namespace
+
+void JobScheduler::dispatch(bool all)
+{
+    if (!this->hooks.mayStart())
+        return;
+    const auto changed = std::exchange(this->touched, {});
+    for (const auto& [service, jobs] : this->activeJobs) {
+        if (!service.empty() && !jobs.empty() && (all || changed.contains(service)))
+            this->dispatchService(service);
+    }
+}
+
+bool JobScheduler::isUsable(const Server& server) const
+{
+    const auto now = this->clock.now();
+    return server.listed && !server.record.draining && server.reachable() && !server.closing
+        && now >= server.refusesUntil && now >= server.ejectedUntil && !(server.probing && !server.runs.empty());
+}
+
+// A server of the previous lead has not answered yet and may run tasks that we do not know of.
+bool JobScheduler::inheritsUnknownRuns(const std::string& service) const
+{
+    if (this->clock.now() - this->begunAt > this->rules.inheritedLease)
+        return false;
+    return std::ranges::any_of(this->serverMap, [&service](const auto& entry) {
+        return entry.second->inherited && entry.second->record.service == service;
+    });
+}
+
+std::vector<JobScheduler::ReadyStep> JobScheduler::readySteps(const std::string& service)
+{
+    std::vector<ReadyStep> ready;
+    const auto now = this->clock.wallNow();
+    const bool unknownRuns = this->inheritsUnknownRuns(service);
+    for (auto* job : this->activeJobs.at(service)) {
+        if (unknownRuns && this->inheritedJobs.contains(job))
+            continue;
+        for (auto& [number, occurrence] : job->open) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& progress = occurrence.steps[step];
+                if (progress.waiting == 0 || !occurrence.isReady(job->spec, step))
+                    continue;
+                const auto& spec = job->spec.steps[step];
+                const int rank = rankOf(*job, occurrence, spec, now);
+                ready.push_back({ job, &occurrence, step, rank, job->objective(occurrence).time_since_epoch().count() });
+            }
+        }
+    }
+    std::ranges::sort(ready, [](const ReadyStep& left, const ReadyStep& right) {
+        return std::tuple(left.rank, left.job->priority, left.order, std::string_view(left.job->spec.id))
+            < std::tuple(right.rank, right.job->priority, right.order, std::string_view(right.job->spec.id));
+    });
+    return ready;
+}
+
+void JobScheduler::dispatchService(const std::string& service)
+{
+    const auto ready = this->readySteps(service);
+    if (ready.empty())
+        return;
+    std::vector<Server*> candidates;
+    for (auto& [id, server] : this->serverMap) {
+        if (server->record.service == service && this->isUsable(*server))
+            candidates.push_back(server.get());
+    }
+    if (candidates.empty())
+        return;
+    for (const auto& step : ready) {
+        if (step.job->spec.steps[step.step].gang)
+            this->placeGang(step, candidates);
+        else
+            this->placeStep(step, candidates);
+    }
+}
+
+bool JobScheduler::teamHasRoom(const Job& job, const Resources& need) const
+{
+    const auto* team = this->config->team(job.spec.team);
+    if (!team)
+        return true;
+    const auto use = this->teamUse.find(job.spec.team);
+    const auto total = (use == this->teamUse.end() ? Resources {} : use->second) + need;
+    const auto within = [](std::int64_t amount, std::int64_t limit) { return limit == 0 || amount <= limit; };
+    return within(total.cpu, team->limit.cpu) && within(total.memory, team->limit.memory)
+        && within(total.accelerators, team->limit.accelerators);
+}
+
+void JobScheduler::placeStep(const ReadyStep& ready, std::span<Server* const> candidates)
+{
+    auto& job = *ready.job;
+    const auto need = job.spec.steps[ready.step].need;
+    auto& step = ready.occurrence->steps[ready.step];
+    const auto now = this->clock.now();
+    for (std::size_t index = 0; index < step.tasks.size() && step.waiting > 0; ++index) {
+        auto& task = step.tasks[index];
+        if (task.phase != TaskPhase::Waiting || task.notBefore > now)
+            continue;
+        if (!this->teamHasRoom(job, need))
+            return;
+        auto* server = this->chooseServer(ready, task, candidates, {});
+        if (!server)
+            return;
+        const int base = static_cast<int>((this->rules.fence - 1) * 10'000);
+        this->startTask(job, *ready.occurrence, ready.step, index, *server, std::max(base, task.run) + 1);
+    }
+}
+
+// The tasks of a gang start together with one run number, or not at all.
+void JobScheduler::placeGang(const ReadyStep& ready, std::span<Server* const> candidates)
+{
+    auto& job = *ready.job;
+    auto& step = ready.occurrence->steps[ready.step];
+    const auto& spec = job.spec.steps[ready.step];
+    const auto now = this->clock.now();
+    const bool rests = std::ranges::any_of(step.tasks, [now](const Task& task) { return task.notBefore > now; });
+    if (rests || step.waiting != static_cast<int>(step.tasks.size()))
+        return;
+    Resources all;
+    for (int count = 0; count < spec.count; ++count)
+        all += spec.need;
+    if (!this->teamHasRoom(job, all))
+        return;
+    std::map<const Server*, Resources> planned;
+    std::vector<Server*> chosen;
+    for (const auto& task : step.tasks) {
+        auto* server = this->chooseServer(ready, task, candidates, planned);
+        if (!server)
+            return;
+        planned[server] += roomNeeded(spec);
+        chosen.push_back(server);
+    }
+    const int run = this->nextRun(step);
+    for (std::size_t index = 0; index < chosen.size(); ++index)
+        this->startTask(job, *ready.occurrence, ready.step, index, *chosen[index], run);
+}
+
+Server* JobScheduler::chooseServer(const ReadyStep& ready, const Task& task, std::span<Server* const> candidates,
+    const std::map<const Server*, Resources>& planned) const
+{
+    const auto& spec = ready.job->spec.steps[ready.step];
+    const auto need = roomNeeded(spec);
+    Server* best = nullptr;
+    std::int64_t bestScore = std::numeric_limits<std::int64_t>::min();
+    for (auto* server : candidates) {
+        auto free = server->free();
+        int planCount = 0;
+        if (const auto plan = planned.find(server); plan != planned.end()) {
+            free -= plan->second;
+            planCount = need.memory > 0 ? static_cast<int>(plan->second.memory / need.memory) : 0;
+        }
+        if (!need.fitsIn(free) || !hasLabel(server->record, spec.requiredLabel) || !this->isUsable(*server))
+            continue;
+        int ofStep = planCount;
+        int serving = 0;
+        int filling = 0;
+        for (const auto& [id, run] : server->runs) {
+            ofStep += run.job == ready.job && run.occurrence == ready.occurrence->number
+                && run.step == static_cast<int>(ready.step);
+            serving += isServing(run);
+            filling += isFilling(run);
+        }
+        if (spec.mostPerServer > 0 && ofStep >= spec.mostPerServer)
+            continue;
+        // Weights only order the preferences: right rack, then no disturbed neighbour, then spreading, then room.
+        std::int64_t score = free.cpu;
+        if (!spec.dataRack.empty() && hasLabel(server->record, spec.dataRack))
+            score += 100'000'000;
+        if (task.avoid == server->record.id)
+            score -= 50'000'000;
+        if (spec.fills)
+            score -= 10'000'000LL * serving;
+        if (spec.latencyTarget > Duration(0))
+            score -= 10'000'000LL * filling + 1'000'000LL * serving;
+        if (spec.lasting)
+            score -= 2'000'000LL * ofStep;
+        if (score > bestScore) {
+            bestScore = score;
+            best = server;
+        }
+    }
+    return best;
+}
+
+// True when interrupting the run leaves its lasting step with no more tasks away than it allows.
+bool JobScheduler::canSpare(const Run& run) const
+{
+    const auto& spec = run.job->spec.steps[static_cast<std::size_t>(run.step)];
+    const auto& tasks = run.job->open.at(run.occurrence).steps[static_cast<std::size_t>(run.step)].tasks;
+    const auto now = this->clock.now();
+    const auto away = std::ranges::count_if(tasks, [&](const Task& task) {
+        const bool atWork = task.phase == TaskPhase::Running && task.percent >= 100
+            && now - task.percentChangedAt >= this->rules.notice / 4;
+        return &task != run.task && !atWork;
+    });
+    return away < spec.mayMiss;
+}
+
+void JobScheduler::evacuate(std::string_view machine)
+{
+    for (auto& [serverId, server] : this->serverMap) {
+        if (server->record.machine != machine || !server->reachable())
+            continue;
+        for (auto& [id, run] : server->runs) {
+            const bool lasting = run.job->spec.steps[static_cast<std::size_t>(run.step)].lasting;
+            if (lasting && run.task->phase == TaskPhase::Running && (server->record.draining || this->canSpare(run)))
+                this->requestStop(*server, id, run, "maintenance wants its machine");
+        }
+    }
+}
+
+} // namespace waxwinglug
--- /dev/null
+++ b/src/job/reports.cpp
@@ -0,0 +1,333 @@
+// What reports of backend servers change: ends, runs of an earlier lead, runs that are missing, stalls, and servers that
+// started again.
+#include "job/scheduler.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace waxwinglug {
+
+using detail::Job;
+using detail::Run;
+using detail::Server;
+using detail::Task;
+using detail::TaskPhase;
+
+namespace {
+
+    // A report holds at most this many ends; a run that is missing from a full one may be in the next.
+    constexpr std::size_t endsPerReport = 500;
+    // A task whose progress stands still for this long is started elsewhere. Reports come about once a second.
+    constexpr Duration stallTime { 1800 };
+    // Progress is reported in whole percent, so a long task may show none for this share of its run time.
+    constexpr int stallShare = 20;
+    // Troubles with different jobs in a row after which a server is ejected. One in thirty jobs fails by its own fault.
+    constexpr int mostTroubles = 3;
+    // First pause of an ejected server; each further one is twice as long, up to the last.
+    constexpr Duration firstEjection { 2000 };
+    constexpr Duration longestEjection { 16'000 };
+    // Pause before a lasting task that ended right after its start is started again.
+    constexpr Duration lastingPause { 300 };
+    // Filling tasks are slowed when the tail latency beside them passes this share of the target, in percent.
+    constexpr std::int64_t slowAbove = 85;
+    // They are sped up again below this share.
+    constexpr std::int64_t speedUpBelow = 60;
+    constexpr int leastPace = 5; // percent; a task at rest would never show that the room is back
+
+    std::string taskText(const TaskId& id) { return fmt::format("{}.{}.{}", id.occurrence, id.step, id.index); }
+
+} // namespace
+
+void JobScheduler::applyEnd(Server& server, const EndedRun& ended)
+{
+    if (ended.number <= server.processedEnds)
+        return;
+    server.processedEnds = ended.number;
+    auto* job = this->jobTable.find(ended.task.job);
+    auto* task = job ? job->find(ended.task) : nullptr;
+    const auto run = server.runs.find(ended.task);
+    if (run != server.runs.end() && run->second.number == ended.run) {
+        if (!ended.checkpoint.empty())
+            run->second.task->checkpoint = ended.checkpoint;
+        this->endRun(server, run, ended.end, true);
+    } else if (task && !job->isOver() && task->phase == TaskPhase::Waiting && ended.run > task->run) {
+        // The run was started by an earlier lead, which did not store its end.
+        task->run = ended.run;
+        if (!ended.checkpoint.empty())
+            task->checkpoint = ended.checkpoint;
+        if (ended.end == RunEnd::Done)
+            this->taskDone(*job, ended.task, *task);
+        else if (ended.end == RunEnd::Failed)
+            this->taskFailed(*job, ended.task, *task);
+    }
+    server.unstoredEnds.push_back({ ended.number, job && job->dirtyTicket != 0 ? job->dirtyTicket : 0 });
+}
+
+// Ends a run and gives its task its next phase.
+void JobScheduler::endRun(Server& server, std::map<TaskId, Run>::iterator run, RunEnd end, bool listed)
+{
+    const auto id = run->first;
+    auto& job = *run->second.job;
+    auto& task = *run->second.task;
+    const auto& step = job.spec.steps[static_cast<std::size_t>(id.step)];
+    const auto now = this->clock.now();
+    if (end != RunEnd::Done || !listed)
+        this->hooks.log("run ended",
+            { { "job", id.job }, { "task", taskText(id) }, { "run", run->second.number },
+                { "server", server.record.id }, { "end", endName(end) }, { "listed", listed } });
+    this->releaseRun(server, run);
+    if (job.isOver())
+        return;
+    if (step.lasting && now - task.startedAt < lastingPause * 2)
+        task.notBefore = now + lastingPause;
+    if (end == RunEnd::Done) {
+        server.troubles = 0;
+        server.probing = false;
+        server.ejection = Duration(0);
+        this->taskDone(job, id, task);
+    } else if (end == RunEnd::Failed) {
+        task.avoid = server.record.id;
+        if (!step.lasting)
+            this->noteTrouble(server, job, "a task failed there");
+        this->taskFailed(job, id, task);
+    }
+}
+
+void JobScheduler::releaseRun(Server& server, std::map<TaskId, Run>::iterator run)
+{
+    const auto& [id, state] = *run;
+    const auto number = static_cast<std::size_t>(id.step);
+    server.used -= state.room;
+    this->teamUse[state.job->spec.team] -= state.job->spec.steps[number].need;
+    state.task->server = nullptr;
+    setPhase(state.job->open.at(id.occurrence).steps[number], *state.task, TaskPhase::Waiting);
+    this->touched.insert(state.job->service);
+    server.runs.erase(run);
+}
+
+std::uint64_t JobScheduler::taskDone(Job& job, const TaskId& id, Task& task)
+{
+    const auto number = static_cast<std::size_t>(id.step);
+    const auto& spec = job.spec.steps[number];
+    if (spec.lasting)
+        return 0;
+    auto& step = job.open.at(id.occurrence).steps[number];
+    setPhase(step, task, TaskPhase::Done);
+    if (spec.gang) {
+        // One member's end stands for all; the others are listed as well, but nothing waits for that.
+        for (auto& [serverId, server] : this->serverMap) {
+            for (auto run = server->runs.begin(); run != server->runs.end();) {
+                const auto current = run++;
+                const auto& other = current->first;
+                if (other.job == id.job && other.occurrence == id.occurrence && other.step == id.step)
+                    this->releaseRun(*server, current);
+            }
+        }
+        for (auto& member : step.tasks)
+            setPhase(step, member, TaskPhase::Done);
+    }
+    const auto ticket = this->markUnsaved(job);
+    if (step.isComplete())
+        this->completeOccurrence(job, id.occurrence);
+    return ticket;
+}
+
+void JobScheduler::completeOccurrence(Job& job, int occurrence)
+{
+    const auto place = job.open.find(occurrence);
+    if (!place->second.isComplete())
+        return;
+    job.open.erase(place);
+    if (job.open.empty() && job.nextOccurrence >= job.occurrenceCount())
+        this->finishJob(job, JobPhase::Completed, "all tasks are done");
+}
+
+std::uint64_t JobScheduler::taskFailed(Job& job, const TaskId& id, Task& task)
+{
+    const auto& step = job.spec.steps[static_cast<std::size_t>(id.step)];
+    if (step.lasting)
+        return 0;
+    ++task.failures;
+    task.lastFailedRun = task.run;
+    const auto ticket = this->markUnsaved(job);
+    if (task.failures >= job.retries)
+        this->finishJob(job, JobPhase::Failed, "a task failed too often");
+    return ticket;
+}
+
+void JobScheduler::applyRunning(Server& server, const RunningTask& running, TimePoint sentAt)
+{
+    const auto place = server.runs.find(running.task);
+    if (place == server.runs.end() || place->second.number != running.run) {
+        if (place == server.runs.end())
+            this->adopt(server, running);
+        return;
+    }
+    auto& run = place->second;
+    auto& task = *run.task;
+    if (!running.checkpoint.empty())
+        task.checkpoint = running.checkpoint;
+    run.latency = running.load;
+    if (task.phase == TaskPhase::Starting || task.phase == TaskPhase::Doubtful) {
+        setPhase(run.job->open.at(run.occurrence).steps[static_cast<std::size_t>(run.step)], task, TaskPhase::Running);
+        task.confirmedAt = this->clock.now();
+        if (run.job->state == JobPhase::Pending) {
+            run.job->state = JobPhase::Running;
+            this->markUnsaved(*run.job);
+        }
+    }
+    if (sentAt >= task.startedAt)
+        this->checkStall(server, running.task, run, running);
+}
+
+// Takes over a run that an earlier lead started, or stops one that nobody needs.
+void JobScheduler::adopt(Server& server, const RunningTask& running)
+{
+    auto* job = this->jobTable.find(running.task.job);
+    auto* task = job ? job->find(running.task) : nullptr;
+    if (!task || job->isOver() || task->phase != TaskPhase::Waiting || running.run < task->run) {
+        server.strays[running.task] = running.run;
+        this->hooks.log("run that is not needed is stopped",
+            { { "job", running.task.job }, { "task", taskText(running.task) }, { "run", running.run },
+                { "server", server.record.id }, { "job_known", job != nullptr } });
+        this->hooks.stop(server.record, { running.task, running.run, this->rules.fence });
+        return;
+    }
+    const auto now = this->clock.now();
+    const auto number = static_cast<std::size_t>(running.task.step);
+    const auto& spec = job->spec.steps[number];
+    setPhase(job->open.at(running.task.occurrence).steps[number], *task, TaskPhase::Running);
+    task->run = running.run;
+    task->server = &server;
+    task->startedAt = now;
+    task->confirmedAt = now;
+    task->percent = running.percent;
+    task->percentChangedAt = now;
+    if (!running.checkpoint.empty())
+        task->checkpoint = running.checkpoint;
+    const auto room = roomNeeded(spec);
+    server.used += room;
+    this->teamUse[job->spec.team] += spec.need;
+    server.runs.insert_or_assign(running.task,
+        Run { job, running.task.occurrence, running.task.step, task, running.run, room, running.load });
+    if (job->state == JobPhase::Pending) {
+        job->state = JobPhase::Running;
+        this->markUnsaved(*job);
+    }
+    this->hooks.log("run of an earlier lead is taken over",
+        { { "job", running.task.job }, { "task", taskText(running.task) }, { "run", running.run },
+            { "server", server.record.id }, { "percent", running.percent } });
+}
+
+// Runs that a report should show and does not.
+void JobScheduler::applyMissing(Server& server, TimePoint sentAt, const HoldReport& report)
+{
+    if (report.ended.size() >= endsPerReport)
+        return;
+    std::set<std::pair<TaskId, int>> listed;
+    for (const auto& running : report.running)
+        listed.emplace(running.task, running.run);
+    std::erase_if(server.strays, [&listed](const auto& stray) { return !listed.contains({ stray.first, stray.second }); });
+    for (auto run = server.runs.begin(); run != server.runs.end();) {
+        const auto current = run++;
+        auto& task = *current->second.task;
+        if (listed.contains({ current->first, current->second.number }) || sentAt <= task.confirmedAt)
+            continue;
+        if (task.phase == TaskPhase::Doubtful)
+            this->requestStop(server, current->first, current->second, "its start was not answered");
+        else if (task.phase == TaskPhase::Running)
+            this->endRun(server, current, RunEnd::LeaseExpired, false);
+        else if (task.phase == TaskPhase::Stopping && task.stopConfirmed)
+            this->endRun(server, current, RunEnd::Stopped, false);
+    }
+}
+
+void JobScheduler::checkStall(Server& server, const TaskId& id, Run& run, const RunningTask& running)
+{
+    auto& task = *run.task;
+    const auto now = this->clock.now();
+    const auto& step = run.job->spec.steps[static_cast<std::size_t>(run.step)];
+    if (running.percent != task.percent) {
+        task.percent = running.percent;
+        task.percentChangedAt = now;
+        return;
+    }
+    const bool atWork = step.lasting && running.percent >= 100;
+    const auto allowed = std::max(stallTime, step.estimate / stallShare);
+    if (step.fills || atWork || task.phase != TaskPhase::Running || now - task.percentChangedAt < allowed)
+        return;
+    task.avoid = server.record.id;
+    this->noteTrouble(server, *run.job, "a task stood still there");
+    this->requestStop(server, id, run, "it stands still");
+}
+
+void JobScheduler::noteTrouble(Server& server, const Job& job, std::string_view reason)
+{
+    if (server.lastTroubleJob == job.spec.id)
+        return;
+    server.lastTroubleJob = job.spec.id;
+    ++server.troubles;
+    if (server.troubles < mostTroubles && !server.probing)
+        return;
+    const auto now = this->clock.now();
+    server.troubles = 0;
+    server.probing = true;
+    server.ejection = std::clamp(server.ejection * 2, firstEjection, longestEjection);
+    server.ejectedUntil = now + server.ejection;
+    this->hooks.log("backend server gets no tasks for a while",
+        { { "server", server.record.id }, { "reason", reason }, { "for_ms", server.ejection.count() } });
+}
+
+// Filling tasks give way when a serving task beside them comes near its latency target.
+void JobScheduler::adjustPaces(Server& server)
+{
+    std::int64_t worst = 0; // percent of the target
+    for (const auto& [id, run] : server.runs) {
+        const auto target = run.job->spec.steps[static_cast<std::size_t>(run.step)].latencyTarget;
+        if (target > Duration(0))
+            worst = std::max(worst, run.latency * 100 / target.count());
+    }
+    for (auto& [id, run] : server.runs) {
+        auto& task = *run.task;
+        if (!run.job->spec.steps[static_cast<std::size_t>(run.step)].fills || task.phase != TaskPhase::Running)
+            continue;
+        int pace = task.pace;
+        if (worst > slowAbove)
+            pace = std::max(leastPace, pace / 2);
+        else if (worst < speedUpBelow && pace < 100)
+            pace = std::min(100, pace + std::max(5, pace / 4));
+        if (pace == task.pace)
+            continue;
+        task.pace = pace;
+        this->hooks.log("filling task changes its pace",
+            { { "job", id.job }, { "task", taskText(id) }, { "server", server.record.id }, { "percent", pace },
+                { "latency_of_target", worst } });
+        this->hooks.pace(server.record, { id, run.number, pace, this->rules.fence });
+    }
+}
+
+void JobScheduler::loseRuns(Server& server, std::string_view reason)
+{
+    this->hooks.log("runs of a backend server are lost",
+        { { "server", server.record.id }, { "reason", reason }, { "runs", server.runs.size() } });
+    while (!server.runs.empty())
+        this->endRun(server, server.runs.begin(), RunEnd::LeaseExpired, false);
+}
+
+// The life of the server that we knew is over, and with it all that ran there.
+void JobScheduler::endLife(Server& server, std::string_view reason)
+{
+    this->loseRuns(server, reason);
+    server.answered = false;
+    server.inherited = false;
+    server.processedEnds = 0;
+    server.storedEnds = 0;
+    server.unstoredEnds.clear();
+    server.strays.clear();
+    server.reportClock = 0;
+    server.leaseUntil = 0;
+    server.troubles = 0;
+    server.probing = false;
+}
+
+} // namespace waxwinglug
--- /dev/null
+++ b/src/job/scheduler.h
@@ -0,0 +1,204 @@
+// The lead scheduler of the fleet: takes jobs, starts their tasks on backend servers under leases and a fence, and
+// records what has ended.
+//
+// One entry VM at a time has the lead. A JobScheduler lives for one lead: it begins with what the store holds and what the
+// backend servers report, and its orders are refused once a later lead has reached a server. It does no I/O; orders go
+// out through hooks, and answers come back as calls.
+#pragma once
+
+#include "job/server-table.h"
+
+#include <waxwinglug/log-field.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwinglug {
+
+struct JobSchedulerHooks {
+    std::function<void(const ServerRecord&, StartOrder)> start;
+    std::function<void(const ServerRecord&, StopOrder)> stop;
+    std::function<void(const ServerRecord&, HoldOrder)> hold;
+    std::function<void(const ServerRecord&, PaceOrder)> pace;
+    // False while another entry VM may have taken the lead; then nothing is started.
+    std::function<bool()> mayStart;
+    // A backend server has seen the fence of a later lead.
+    std::function<void()> superseded;
+    LogHook log;
+};
+
+// Times that depend on the platform, and the term of the lead.
+struct JobSchedulerRules {
+    // Number of this lead; later leads have greater numbers. Sent as the fence.
+    std::uint64_t fence = 0;
+    // How long a hold call keeps the lease; also bounds how long work of an unreachable server waits.
+    Duration lease { std::chrono::seconds(5) };
+    // Validity of a start order. Short, so that an order without an answer is void soon.
+    Duration startValidity { std::chrono::milliseconds(2500) };
+    // Longest wait of one hold call for an end.
+    Duration holdWait { std::chrono::seconds(1) };
+    // How long leases of an earlier lead may last after this one has begun.
+    Duration inheritedLease { std::chrono::seconds(7) };
+    // How long rows of an ended job are kept.
+    Duration keepEnded { std::chrono::minutes(3) };
+    // No machine or task of a lasting step is interrupted earlier than this after it was away.
+    Duration notice { std::chrono::milliseconds(4500) };
+    // Factor on the run time of a task away from its data.
+    double remoteFactor = 1.5;
+};
+
+// What is to be stored of one job.
+struct ProgressWrite {
+    std::string job;
+    std::string text;
+    std::uint64_t expectedVersion = 0;
+    std::uint64_t ticket = 0;
+};
+
+class JobScheduler {
+public:
+    JobScheduler(JobSchedulerRules rules, Clock clock, JobSchedulerHooks hooks);
+    ~JobScheduler();
+    JobScheduler(const JobScheduler&) = delete;
+    JobScheduler& operator=(const JobScheduler&) = delete;
+
+    void setConfig(std::shared_ptr<const FleetConfig> config);
+
+    // What the store holds. `inherited` jobs were stored before this lead began and may be running somewhere.
+    void addJob(JobSpec spec, bool inherited);
+    void loadProgress(std::string_view job, std::string_view text, std::uint64_t rowVersion);
+    void cancelJob(std::string_view job);
+    void addServer(ServerRecord record, bool inherited);
+    void removeServer(std::string_view id);
+
+    // Answers to orders. `sentAt` is when the call began.
+    void startAnswered(std::string_view server, const TaskId& task, int run, OrderStatus status);
+    void stopAnswered(std::string_view server, const TaskId& task, int run, OrderStatus status);
+    void holdAnswered(std::string_view server, TimePoint sentAt, OrderStatus status, const HoldReport& report);
+
+    // Asks servers again and starts what can start after events. Call after a batch of them.
+    void react();
+    // Does what time makes due as well. Call at least every 100 ms.
+    void tick();
+
+    // Storing progress. One batch at a time; it ends with saved() or notSaved().
+    std::vector<ProgressWrite> takeUnsaved(std::size_t most);
+    void saved(std::span<const ProgressWrite> batch, std::uint64_t rowVersion);
+    void notSaved(std::span<const ProgressWrite> batch);
+    // The row of a job has another version than expected.
+    void progressVersion(std::string_view job, std::uint64_t rowVersion);
+    bool hasUnsaved() const { return !this->unsaved.empty(); }
+
+    // Jobs that ended long ago and are forgotten here; their rows can be removed.
+    std::vector<std::string> takeExpired(std::size_t most);
+    // Accepted jobs of each queue of which no task has started.
+    std::map<std::string, int> waitingByQueue() const;
+    std::optional<JobPhase> stateOf(std::string_view job);
+
+    // Maintenance. A closing machine gets no new tasks.
+    void setClosing(std::string_view machine, bool closing);
+    // The server that lives on a machine; nullptr when there is none.
+    const detail::Server* serverOn(std::string_view machine) const;
+    // Stops lasting tasks on a machine as far as their steps can spare them.
+    void evacuate(std::string_view machine);
+    // The platform has ended everything on the machine.
+    void machineStopped(std::string_view machine);
+
+    const detail::ServerMap& servers() const { return this->serverMap; }
+    const detail::JobTable& jobs() const { return this->jobTable; }
+
+private:
+    struct ReadyStep {
+        detail::Job* job = nullptr;
+        detail::Occurrence* occurrence = nullptr;
+        std::size_t step = 0;
+        int rank = 0;
+        std::int64_t order = 0;
+    };
+    // The part of a report that concerns one known run.
+    struct Listed {
+        bool running = false;
+        bool ended = false;
+    };
+
+    // scheduler.cpp
+    void applyQueue(detail::Job& job);
+    std::uint64_t markUnsaved(detail::Job& job);
+    void advanceStoredEnds();
+    void finishJob(detail::Job& job, JobPhase state, std::string_view reason);
+    void openDueJobs();
+    void forgetEnded();
+    bool isActive(const detail::Job& job) const { return !job.isOver(); }
+
+    // orders.cpp
+    void startTask(detail::Job& job, detail::Occurrence& occurrence, std::size_t step, std::size_t index,
+        detail::Server& server, int run);
+    void requestStop(detail::Server& server, const TaskId& id, detail::Run& run, std::string_view reason);
+    void sendStop(detail::Server& server, const TaskId& id, detail::Run& run);
+    void sendHold(detail::Server& server);
+    void sendDueHolds();
+    void repeatStops();
+    void superseded(const detail::Server& server);
+    int nextRun(const detail::StepProgress& step) const;
+
+    // reports.cpp
+    void applyEnd(detail::Server& server, const EndedRun& ended);
+    void applyRunning(detail::Server& server, const RunningTask& running, TimePoint sentAt);
+    void applyMissing(detail::Server& server, TimePoint sentAt, const HoldReport& report);
+    void adopt(detail::Server& server, const RunningTask& running);
+    void releaseRun(detail::Server& server, std::map<TaskId, detail::Run>::iterator run);
+    void endRun(detail::Server& server, std::map<TaskId, detail::Run>::iterator run, RunEnd end, bool listed);
+    std::uint64_t taskDone(detail::Job& job, const TaskId& id, detail::Task& task);
+    std::uint64_t taskFailed(detail::Job& job, const TaskId& id, detail::Task& task);
+    void completeOccurrence(detail::Job& job, int occurrence);
+    void endLife(detail::Server& server, std::string_view reason);
+    void loseRuns(detail::Server& server, std::string_view reason);
+    void noteTrouble(detail::Server& server, const detail::Job& job, std::string_view reason);
+    void checkStall(detail::Server& server, const TaskId& id, detail::Run& run, const RunningTask& running);
+    void adjustPaces(detail::Server& server);
+
+    // placement.cpp
+    void dispatch(bool all);
+    void dispatchService(const std::string& service);
+    void placeStep(const ReadyStep& ready, std::span<detail::Server* const> candidates);
+    void placeGang(const ReadyStep& ready, std::span<detail::Server* const> candidates);
+    std::vector<ReadyStep> readySteps(const std::string& service);
+    detail::Server* chooseServer(const ReadyStep& ready, const detail::Task& task,
+        std::span<detail::Server* const> candidates, const std::map<const detail::Server*, Resources>& planned) const;
+    bool isUsable(const detail::Server& server) const;
+    bool teamHasRoom(const detail::Job& job, const Resources& need) const;
+    bool inheritsUnknownRuns(const std::string& service) const;
+    bool canSpare(const detail::Run& run) const;
+
+    const JobSchedulerRules rules;
+    const Clock clock;
+    const JobSchedulerHooks hooks;
+    const TimePoint begunAt;
+    std::shared_ptr<const FleetConfig> config;
+    detail::JobTable jobTable;
+    detail::ServerMap serverMap;
+    // Jobs that are not over, by service; those of an unknown queue have an empty service.
+    std::map<std::string, std::set<detail::Job*>> activeJobs;
+    std::set<const detail::Job*> inheritedJobs;
+    std::map<std::string, Resources> teamUse;
+    // Services in which a task may be able to start since the last dispatch.
+    std::set<std::string> touched;
+    // Changed jobs in the order of their first change that is not stored.
+    std::map<std::uint64_t, detail::Job*> unsaved;
+    std::uint64_t issuedTickets = 0;
+    // Ticket of the oldest change in the batch that is being stored; 0: none is.
+    std::uint64_t inFlightTicket = 0;
+    std::vector<detail::Job*> ended;
+};
+
+// What a task takes of a server's room: filling tasks use only what others leave.
+Resources roomNeeded(const StepSpec& step);
+
+} // namespace waxwinglug
--- /dev/null
+++ b/src/job/work.cpp
@@ -0,0 +1,182 @@
+// Lookups in a configuration, checks of a job, and the form in which jobs are stored.
+#include <waxwinglug/work.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace waxwinglug {
+namespace {
+
+    // Bounds on one job, so that a single request cannot fill the memory of an entry VM of 160 MB.
+    constexpr int mostTasksPerStep = 2000;
+    constexpr std::size_t mostSteps = 100;
+    constexpr int mostOccurrences = 100'000;
+
+    template <typename List> auto findByName(const List& list, std::string_view name)
+    {
+        const auto found = std::ranges::find(list, name, [](const auto& each) { return std::string_view(each.name); });
+        return found == list.end() ? nullptr : &*found;
+    }
+
+    constexpr std::array<std::pair<JobPhase, std::string_view>, 5> phaseNames { {
+        { JobPhase::Pending, "pending" },
+        { JobPhase::Running, "running" },
+        { JobPhase::Completed, "completed" },
+        { JobPhase::Failed, "failed" },
+        { JobPhase::Cancelled, "cancelled" },
+    } };
+
+    Error invalidJob(std::string_view problem, std::string_view remedy)
+    {
+        return { ErrorKind::Invalid, problem, remedy };
+    }
+
+    void checkStep(const StepSpec& step, int number)
+    {
+        if (step.count < 1 || step.count > mostTasksPerStep)
+            throw invalidJob(fmt::format("step {} has {} tasks", number, step.count),
+                fmt::format("use 1 to {} tasks", mostTasksPerStep));
+        if (step.need.cpu < 0 || step.need.memory < 0 || step.need.accelerators < 0)
+            throw invalidJob(fmt::format("step {} needs a negative amount", number), "use 0 or more");
+        for (const int earlier : step.after) {
+            if (earlier < 0 || earlier >= number)
+                throw invalidJob(fmt::format("step {} waits for step {}", number, earlier), "name only earlier steps");
+        }
+    }
+
+    Json stepToJson(const StepSpec& step)
+    {
+        return Json { { "count", step.count }, { "cpu", step.need.cpu }, { "memory", step.need.memory },
+            { "accelerators", step.need.accelerators }, { "estimate", step.estimate.count() },
+            { "waitsFor", step.after }, { "gang", step.gang }, { "oneRack", step.sameRack },
+            { "checkpoints", step.checkpoints }, { "copies", step.speculative }, { "lasting", step.lasting },
+            { "fills", step.fills }, { "label", step.requiredLabel }, { "rack", step.dataRack },
+            { "image", step.image }, { "perServer", step.mostPerServer }, { "mayMiss", step.mayMiss },
+            { "latencyTarget", step.latencyTarget.count() } };
+    }
+
+    StepSpec stepFromJson(const Json& json)
+    {
+        StepSpec step;
+        step.count = json.at("count").get<int>();
+        step.need = { json.at("cpu").get<std::int64_t>(), json.at("memory").get<std::int64_t>(),
+            json.at("accelerators").get<std::int64_t>() };
+        step.estimate = Duration(json.at("estimate").get<std::int64_t>());
+        step.after = json.at("waitsFor").get<std::vector<int>>();
+        step.gang = json.at("gang").get<bool>();
+        step.sameRack = json.at("oneRack").get<bool>();
+        step.checkpoints = json.at("checkpoints").get<bool>();
+        step.speculative = json.at("copies").get<bool>();
+        step.lasting = json.at("lasting").get<bool>();
+        step.fills = json.at("fills").get<bool>();
+        step.requiredLabel = json.at("label").get<std::string>();
+        step.dataRack = json.at("rack").get<std::string>();
+        step.image = json.at("image").get<std::string>();
+        step.mostPerServer = json.at("perServer").get<int>();
+        step.mayMiss = json.at("mayMiss").get<int>();
+        step.latencyTarget = Duration(json.at("latencyTarget").get<std::int64_t>());
+        return step;
+    }
+
+} // namespace
+
+const QueueSpec* FleetConfig::findQueue(std::string_view host, std::string_view path) const
+{
+    const QueueSpec* best = nullptr;
+    for (const auto& queue : this->queues) {
+        const bool matches = queue.host == host && path.starts_with(queue.pathPrefix);
+        if (matches && (!best || queue.pathPrefix.size() > best->pathPrefix.size()))
+            best = &queue;
+    }
+    return best;
+}
+
+const QueueSpec* FleetConfig::queue(std::string_view name) const { return findByName(this->queues, name); }
+
+const ServiceSpec* FleetConfig::service(std::string_view name) const { return findByName(this->services, name); }
+
+const TeamSpec* FleetConfig::team(std::string_view name) const { return findByName(this->teams, name); }
+
+const TeamSpec* FleetConfig::teamOfKey(std::string_view key) const
+{
+    if (key.empty())
+        return nullptr;
+    const auto found = std::ranges::find_if(
+        this->teams, [key](const TeamSpec& team) { return std::ranges::find(team.keys, key) != team.keys.end(); });
+    return found == this->teams.end() ? nullptr : &*found;
+}
+
+void checkJob(const JobSpec& spec)
+{
+    if (spec.steps.empty() || spec.steps.size() > mostSteps)
+        throw invalidJob(fmt::format("the job has {} steps", spec.steps.size()), "use 1 to 100 steps");
+    for (std::size_t number = 0; number < spec.steps.size(); ++number)
+        checkStep(spec.steps[number], static_cast<int>(number));
+    if (spec.occurrences < 0 || spec.occurrences > mostOccurrences)
+        throw invalidJob(fmt::format("the job runs {} times", spec.occurrences), "use 0 to 100000");
+    if (spec.occurrences > 1 && spec.interval <= Duration(0))
+        throw invalidJob("the interval between two runs is not positive", "use 1 ms or more");
+}
+
+void to_json(Json& json, const JobSpec& spec)
+{
+    Json steps = Json::array();
+    for (const auto& step : spec.steps)
+        steps.push_back(stepToJson(step));
+    json = Json { { "id", spec.id }, { "queue", spec.queue }, { "team", spec.team }, { "command", spec.command },
+        { "steps", std::move(steps) }, { "occurrences", spec.occurrences },
+        { "first", spec.first.time_since_epoch().count() }, { "interval", spec.interval.count() },
+        { "acceptedAt", spec.acceptedAt.time_since_epoch().count() } };
+}
+
+void from_json(const Json& json, JobSpec& spec)
+{
+    spec.id = json.at("id").get<std::string>();
+    spec.queue = json.at("queue").get<std::string>();
+    spec.team = json.at("team").get<std::string>();
+    spec.command = json.at("command").get<std::string>();
+    spec.steps.clear();
+    for (const auto& step : json.at("steps"))
+        spec.steps.push_back(stepFromJson(step));
+    spec.occurrences = json.at("occurrences").get<int>();
+    spec.first = WallTime(Duration(json.at("first").get<std::int64_t>()));
+    spec.interval = Duration(json.at("interval").get<std::int64_t>());
+    spec.acceptedAt = WallTime(Duration(json.at("acceptedAt").get<std::int64_t>()));
+    checkJob(spec);
+}
+
+std::string_view phaseName(JobPhase state)
+{
+    return phaseNames[static_cast<std::size_t>(state)].second;
+}
+
+std::optional<JobPhase> parsePhase(std::string_view name)
+{
+    const auto found
+        = std::ranges::find(phaseNames, name, [](const auto& each) { return each.second; });
+    return found == phaseNames.end() ? std::nullopt : std::optional(found->first);
+}
+
+std::string_view endName(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Done:
+        return "done";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::LeaseExpired:
+        return "lease-expired";
+    case RunEnd::GangBroken:
+        return "gang-broken";
+    case RunEnd::GangIncomplete:
+        return "gang-incomplete";
+    }
+    return "";
+}
+
+} // namespace waxwinglug
--- /dev/null
+++ b/src/process/fleet-node-settings.cpp
@@ -0,0 +1,100 @@
+// Settings of the scheduler.
+#include "process/setting-table.h"
+
+#include <charconv>
+
+namespace waxwinglug {
+
+using namespace detail;
+
+namespace {
+
+    using std::chrono::hours;
+    using std::chrono::milliseconds;
+    using std::chrono::minutes;
+    using std::chrono::seconds;
+
+    std::optional<double> parseDecimal(std::string_view text, double least, double most)
+    {
+        double number = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (error != std::errc {} || end != text.data() + text.size() || number < least || number > most)
+            return std::nullopt;
+        return number;
+    }
+
+    bool storeProcessor(FleetNodeSettings& settings, std::string_view value)
+    {
+        const auto cores = parseDecimal(value, 0.001, 1024);
+        if (cores)
+            settings.processor = static_cast<int>(*cores * 1000);
+        return cores.has_value();
+    }
+
+    bool storeRemoteFactor(FleetNodeSettings& settings, std::string_view value)
+    {
+        return assign(settings.remoteFactor, parseDecimal(value, 1, 1000));
+    }
+
+    // Durations that the platform gives in seconds with a fraction.
+    auto secondsInto(Duration FleetNodeSettings::*member)
+    {
+        return [member](FleetNodeSettings& settings, std::string_view value) {
+            const auto number = parseDecimal(value, 0, 3600);
+            if (number)
+                settings.*member = Duration(static_cast<std::int64_t>(*number * 1000));
+            return number.has_value();
+        };
+    }
+
+    constexpr std::string_view secondsForm = "seconds, 0 to 3600, decimals allowed";
+
+    const std::vector<Setting<FleetNodeSettings>>& fleetNodeSettings()
+    {
+        using S = FleetNodeSettings;
+        static const std::vector<Setting<S>> table {
+            { { "node", "name", "", nameForm, "name of this entry VM, unique in the fleet" }, nameInto(&S::name) },
+            { { "node", "data-centre", "", nameForm, "data centre of this entry VM" }, nameInto(&S::dataCentre) },
+            { { "node", "processor", "1", "cores, decimals allowed", "processor that this VM has" }, storeProcessor },
+            { { "listen", "callers", "", endpointForm, "address for requests of callers" }, endpointInto(&S::callers) },
+            { { "listen", "health", "", endpointForm, "address that the balancer asks whether this VM is ready" },
+                endpointInto(&S::health) },
+            { { "listen", "operators", "127.0.0.1:7082", endpointForm, "address for health, metrics and status" },
+                endpointInto(&S::operators) },
+            { { "platform", "store", "", endpointForm, "address of the platform's row store" },
+                endpointInto(&S::store) },
+            { { "platform", "machines", "", endpointForm, "address of the platform's machine list" },
+                endpointInto(&S::machines) },
+            { { "platform", "longest-lease", "10s", "duration, 1s to 1h", "longest lease of a backend server" },
+                durationInto(&S::longestLease, seconds(1), hours(1)) },
+            { { "platform", "order-lease", "3s", "duration, 0ms to 1m",
+                  "least time between orders of two VMs for one machine" },
+                durationInto(&S::orderLease, milliseconds(0), minutes(1)) },
+            { { "platform", "maintenance-seconds", "2", secondsForm, "time that a maintenance takes" },
+                secondsInto(&S::maintenanceTime) },
+            { { "platform", "move-seconds", "1.5", secondsForm, "time that a move between pools takes" },
+                secondsInto(&S::moveTime) },
+            { { "jobs", "keep-seconds", "120", secondsForm, "how long the state of an ended job can be asked for" },
+                secondsInto(&S::keepEnded) },
+            { { "jobs", "notice", "4500ms", "duration, 0ms to 1m", "how long an absent lasting task counts as away" },
+                durationInto(&S::notice, milliseconds(0), minutes(1)) },
+            { { "jobs", "remote-factor", "1.5", "number, 1 to 1000", "run time away from the data against near it" },
+                storeRemoteFactor },
+            { { "shutdown", "grace", "30s", "duration, 1s to 1h", "longest wait for requests in flight at shutdown" },
+                durationInto(&S::shutdownGrace, seconds(1), hours(1)) },
+        };
+        return table;
+    }
+
+} // namespace
+
+FleetNodeSettings parseFleetNodeSettings(std::string_view text, std::string_view file)
+{
+    Reader<FleetNodeSettings> reader(fleetNodeSettings(), file);
+    reader.read(text);
+    return reader.take();
+}
+
+std::vector<SettingInfo> fleetNodeSettingTable() { return infos(fleetNodeSettings()); }
+
+} // namespace waxwinglug
