Carry out maintenance waves, and let the next lead know which servers were in use

The lead now stores each server before it uses it, and the next lead waits for their answer or the end of their leases.

--- a/include/waxwinglug/work.h
+++ b/include/waxwinglug/work.h
@@ -200,6 +200,8 @@
 
 void to_json(Json& json, const JobSpec& spec); // NOLINT(readability-identifier-naming)
 void from_json(const Json& json, JobSpec& spec); // NOLINT(readability-identifier-naming)
+void to_json(Json& json, const ServerRecord& server); // NOLINT(readability-identifier-naming)
+void from_json(const Json& json, ServerRecord& server); // NOLINT(readability-identifier-naming)
 
 std::string_view phaseName(JobPhase state);
 // Nothing for a text that names no state.
--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -30,6 +30,9 @@
     // Kept back from the grace for ending the process.
     constexpr Duration exitReserve { 700 };
     constexpr Duration takeDeadline { 800 };
+    // Each decision about a request or a task gets a line, and a lead starts several hundred tasks a second. A line takes
+    // about 10 us of a core.
+    constexpr int logLinesPerSecond = 400;
     constexpr std::uint64_t usualBody = 256 * 1024;
 
     // A clock that goes on while the VM is suspended, unlike the usual steady one. A lead that wakes up after a
@@ -59,7 +62,7 @@
     Impl(FleetNodeSettings nodeSettings, const std::function<FleetPlatform(HttpCaller&)>& connect)
         : settings(std::move(nodeSettings))
         , clock(suspendAwareClock())
-        , log("scheduler", this->clock)
+        , log("scheduler", this->clock, logLinesPerSecond)
         , random(seededRandom())
         , caller(this->context, this->clock)
         , platform(connect(this->caller))
@@ -176,6 +179,10 @@
         for (const auto& row : rows) {
             if (auto next = this->platform.formats.config(row))
                 this->applyConfig(std::move(*next));
+            else if (auto wave = this->platform.formats.wave(row))
+                this->applyWave(*wave);
+            else if (!row.removed)
+                this->log.warning("operator row is skipped", { { "key", row.name.key }, { "version", row.version } });
         }
     }
 
@@ -191,6 +198,13 @@
             this->session->setConfig(this->config);
     }
 
+    void applyWave(const MachineWave& wave)
+    {
+        this->waves[wave.number] = wave;
+        if (this->session)
+            this->session->addWave(wave);
+    }
+
     void followLead()
     {
         this->leadFollower = std::make_unique<TableFollower>(this->context, this->platform.store,
@@ -214,7 +228,7 @@
 
     void startSession()
     {
-        if (!this->leadership.leads() || this->session || this->stopping)
+        if (!this->leadership.leads() || !this->config || this->session || this->stopping)
             return;
         JobSchedulerRules rules;
         rules.fence = this->leadership.fence();
@@ -222,11 +236,17 @@
         rules.notice = this->settings.notice;
         rules.remoteFactor = this->settings.remoteFactor;
         rules.lease = std::min(rules.lease, this->settings.longestLease);
+        UpkeepRules upkeepRules;
+        // The first lead of all has no predecessor whose orders it could cross.
+        upkeepRules.quietStart = rules.fence == 1 ? Duration(0) : this->settings.orderLease;
+        upkeepRules.maintenanceTime = this->settings.maintenanceTime;
         LeadHooks hooks;
         hooks.ended = [this] { this->session.reset(); };
         hooks.log = this->logHook();
         this->session = std::make_shared<LeadSession>(
-            this->context, this->platform, this->leadership, rules, this->clock, this->config ? this->config : std::make_shared<const FleetConfig>(), std::move(hooks));
+            this->context, this->platform, this->leadership, rules, upkeepRules, this->clock, this->config, std::move(hooks));
+        for (const auto& [number, wave] : this->waves)
+            this->session->addWave(wave);
         this->session->start();
     }
 
@@ -296,6 +316,7 @@
     std::unique_ptr<TableFollower> leadFollower;
     std::shared_ptr<LeadSession> session;
     std::shared_ptr<const FleetConfig> config;
+    std::map<int, MachineWave> waves;
     TimePoint heardAt;
     TimePoint caredAt;
     TimePoint stoppedAt;
--- a/src/io/process/lead-session.cpp
+++ b/src/io/process/lead-session.cpp
@@ -14,10 +14,10 @@
     constexpr Duration reactDelay { 2 };
     // Deadline of a commit. A slow store takes about 0.6 s; past it the lead would not be valid any more.
     constexpr Duration commitDeadline { 1000 };
-    constexpr Duration listDeadline { 900 };
-    constexpr Duration retryPause { 100 };
     // A transaction holds 100 entries; each job takes a condition and a write, and a few rows of the lead are added.
-    constexpr std::size_t jobsPerCommit = 45;
+    constexpr std::size_t jobsPerCommit = 40;
+    constexpr std::size_t jobsBesideServers = 20;
+    constexpr std::size_t serversPerCommit = 40;
     constexpr std::size_t removalsPerCommit = 3; // jobs, of three rows each
     // Callers may see counts that are 2 s old.
     constexpr Duration summaryInterval { 700 };
@@ -37,13 +37,14 @@
 }
 
 LeadSession::LeadSession(boost::asio::io_context& io, const FleetPlatform& fleetPlatform, Leadership& lead,
-    JobSchedulerRules rules, Clock source, std::shared_ptr<const FleetConfig> config, LeadHooks leadHooks)
+    JobSchedulerRules rules, UpkeepRules upkeepRules, Clock source, std::shared_ptr<const FleetConfig> config, LeadHooks leadHooks)
     : context(io)
     , platform(fleetPlatform)
     , leadership(lead)
     , clock(source)
     , hooks(std::move(leadHooks))
     , jobScheduler(rules, source, this->schedulerHooks())
+    , machineUpkeep(this->jobScheduler, upkeepRules, source, this->upkeepHooks())
     , ticker(io)
     , reactor(io)
 {
@@ -84,6 +85,61 @@
     return scheduler;
 }
 
+UpkeepHooks LeadSession::upkeepHooks()
+{
+    UpkeepHooks upkeep;
+    upkeep.order = [this](const std::string& machine, int wave) {
+        this->platform.machines.upkeep(machine, wave, this->leadership.fence(),
+            this->guarded([this, machine, wave](MachineOrderStatus status) {
+                this->machineUpkeep.orderAnswered(machine, wave, status);
+                this->poke();
+            }));
+    };
+    upkeep.listMachines = [this] {
+        this->platform.machines.list(
+            this->guarded([this](const std::optional<std::vector<MachineRecord>>& machines) {
+                if (machines)
+                    this->machineUpkeep.machinesListed(*machines);
+                else
+                    this->hooks.log("the machine list does not answer", {});
+            }));
+    };
+    upkeep.report = [this](const MachineWave& wave, bool completed, const std::set<std::string>& done) {
+        this->upkeepWrites.push_back(
+            { { tables::upkeep, Leadership::part, std::to_string(wave.number) }, Json(done).dump() });
+        this->waveReports[wave.number] = { wave, completed };
+        this->sendReports();
+    };
+    upkeep.log = this->hooks.log;
+    return upkeep;
+}
+
+// The operator's rows lie in another part than the lead's, so they cannot share a transaction with them. A completed
+// wave stays completed, so a late write of an earlier lead does no harm once this one has completed it as well.
+void LeadSession::sendReports()
+{
+    for (auto& [number, report] : this->waveReports) {
+        if (report.sending || report.sent == (report.completed ? 2 : 1))
+            continue;
+        report.sending = true;
+        RowTransaction transaction;
+        transaction.writes.push_back(this->platform.formats.waveStatus(report.wave, report.completed));
+        this->platform.store.commit(std::move(transaction), commitDeadline,
+            this->guarded([this, &report, completed = report.completed](const TransactionResult& result) {
+                report.sending = false;
+                if (result.status == CommitStatus::Committed)
+                    report.sent = completed ? 2 : 1;
+            }));
+    }
+}
+
+void LeadSession::addWave(const MachineWave& wave)
+{
+    this->waves[wave.number] = wave;
+    if (this->loaded)
+        this->machineUpkeep.addWave(wave, this->maintainedMachines[std::to_string(wave.number)]);
+}
+
 void LeadSession::start()
 {
     const auto follower = [this](auto apply) {
@@ -103,6 +159,8 @@
         follower([this](auto rows, bool whole) { this->onJobs(rows, whole); }));
     this->serverFollower->start();
     this->jobFollower->start();
+    this->readOnce(tables::servers, &LeadSession::onEnrolled);
+    this->readOnce(tables::upkeep, &LeadSession::onUpkeep);
     this->tick();
 }
 
@@ -124,7 +182,7 @@
             continue;
         }
         present.insert(server->id);
-        this->jobScheduler.addServer(std::move(*server), !this->loaded);
+        this->jobScheduler.addServer(std::move(*server));
     }
     if (whole) {
         for (const auto& [id, server] : this->jobScheduler.servers()) {
@@ -159,7 +217,7 @@
     }
     if (whole && !this->jobsLoaded) {
         this->jobsLoaded = true;
-        this->readProgress();
+        this->readOnce(tables::progress, &LeadSession::onProgress);
     }
     if (whole && this->loaded) {
         for (const auto& row : rows) {
@@ -170,44 +228,67 @@
     this->poke();
 }
 
-void LeadSession::readProgress()
+void LeadSession::onProgress(std::span<const StoredRow> rows)
 {
-    RowName from { tables::progress, Leadership::part, "" };
-    if (!this->progressRows.empty())
-        from.key = this->progressRows.back().name.key + '\0';
-    this->platform.store.list(from, "", listDeadline, this->guarded([this](std::optional<RowPage> page) {
-        if (!page || page->version < this->leadership.condition().version) {
-            this->reactor.expires_after(retryPause);
-            this->reactor.async_wait(this->guarded([this](const boost::system::error_code& error) {
-                if (!error)
-                    this->readProgress();
-            }));
-            return;
+    for (const auto& row : rows) {
+        try {
+            this->jobScheduler.loadProgress(row.name.key, row.value, row.version);
+        } catch (const Error& error) {
+            this->hooks.log("progress row cannot be read", { { "key", row.name.key }, { "problem", error.what() } });
         }
-        const bool more = page->more && !page->rows.empty();
-        std::ranges::move(page->rows, std::back_inserter(this->progressRows));
-        if (more)
-            return this->readProgress();
-        for (const auto& row : this->progressRows) {
-            try {
-                this->jobScheduler.loadProgress(row.name.key, row.value, row.version);
-            } catch (const Error& error) {
-                this->hooks.log("progress row cannot be read", { { "key", row.name.key }, { "problem", error.what() } });
-            }
+    }
+    this->progressLoaded = true;
+    this->finishLoading();
+}
+
+void LeadSession::onEnrolled(std::span<const StoredRow> rows)
+{
+    for (const auto& row : rows) {
+        try {
+            this->jobScheduler.addEnrolled(fromJson<ServerRecord>(row.value));
+        } catch (const Error& error) {
+            this->hooks.log("server in use cannot be read", { { "key", row.name.key }, { "problem", error.what() } });
         }
-        this->progressRows.clear();
-        this->progressLoaded = true;
-        this->finishLoading();
-    }));
+    }
+    this->enrolledLoaded = true;
+    this->finishLoading();
+}
+
+void LeadSession::onUpkeep(std::span<const StoredRow> rows)
+{
+    for (const auto& row : rows) {
+        const auto json = Json::parse(row.value, nullptr, false);
+        if (json.is_array())
+            this->maintainedMachines[row.name.key] = json.get<std::set<std::string>>();
+    }
+    this->upkeepLoaded = true;
+    this->finishLoading();
+}
+
+// Reads a table once; it is not followed afterwards, because only the lead writes it.
+void LeadSession::readOnce(const char* table, void (LeadSession::*apply)(std::span<const StoredRow>))
+{
+    FollowerHooks follow;
+    follow.whole = this->guarded([this, apply](std::span<const StoredRow> rows) { (this->*apply)(rows); });
+    follow.changes = [](std::span<const StoredRow>) { /* our own writes */ };
+    follow.heard = [] { /* the followers of the node watch the store */ };
+    follow.log = this->hooks.log;
+    this->readers.push_back(std::make_unique<TableFollower>(this->context, this->platform.store,
+        RowName { table, Leadership::part, "" }, this->leadership.condition().version, std::move(follow)));
+    this->readers.back()->start();
 }
 
 void LeadSession::finishLoading()
 {
-    if (this->loaded || !this->serversLoaded || !this->progressLoaded)
+    if (this->loaded || !this->serversLoaded || !this->progressLoaded || !this->enrolledLoaded || !this->upkeepLoaded)
         return;
     this->loaded = true;
+    // A reader may be on the stack.
+    boost::asio::post(this->context, this->guarded([this] { this->readers.clear(); }));
     for (const auto& job : this->inheritedCancels)
         this->jobScheduler.cancelJob(job);
+    for (const auto& [number, wave] : this->waves)
+        this->machineUpkeep.addWave(wave, this->maintainedMachines[std::to_string(number)]);
     this->hooks.log("lead begins",
         { { "fence", this->leadership.fence() }, { "jobs", this->jobScheduler.jobs().all().size() },
             { "servers", this->jobScheduler.servers().size() } });
@@ -247,21 +328,24 @@
         return this->end("another VM has the lead");
     if (this->loaded && this->leadership.mayHold())
         this->jobScheduler.tick();
+    if (this->loaded && this->leadership.isValid()) {
+        this->machineUpkeep.tick();
+        this->sendReports();
+    }
     this->storeChanges();
 }
 
-bool LeadSession::addSummary(RowTransaction& transaction)
+void LeadSession::addSummary(RowTransaction& transaction)
 {
-    if (!this->loaded || this->clock.now() - this->summaryAt < summaryInterval)
-        return false;
+    if (this->clock.now() - this->summaryAt < summaryInterval)
+        return;
     auto waiting = this->jobScheduler.waitingByQueue();
     if (waiting == this->storedSummary)
-        return false;
+        return;
     this->summaryAt = this->clock.now();
     transaction.writes.push_back(
         { { tables::summary, Leadership::part, tables::summaryKey }, Json(waiting).dump() });
     this->storedSummary = std::move(waiting);
-    return true;
 }
 
 void LeadSession::storeChanges()
@@ -269,26 +353,22 @@
     if (this->over || this->committing)
         return;
     RowTransaction transaction;
-    const bool summary = this->addSummary(transaction);
-    if (!summary && !this->leadership.beatIsDue() && !(this->loaded && this->jobScheduler.hasUnsaved()))
-        return;
-    auto batch = this->loaded ? this->jobScheduler.takeUnsaved(jobsPerCommit) : std::vector<ProgressWrite> {};
-    transaction.conditions.push_back(this->leadership.condition());
-    for (const auto& write : batch) {
-        const RowName name { tables::progress, Leadership::part, write.job };
-        transaction.conditions.push_back({ name, write.expectedVersion });
-        transaction.writes.push_back({ name, write.text });
-    }
-    if (this->loaded && batch.empty()) {
-        for (const auto& job : this->jobScheduler.takeExpired(removalsPerCommit)) {
-            for (const auto* table : { tables::jobs, tables::progress })
-                transaction.removals.push_back({ table, Leadership::part, job });
-            transaction.removals.push_back(
-                { tables::jobs, Leadership::part, job + std::string(tables::cancelSuffix) });
-        }
+    Batch batch;
+    if (this->loaded) {
+        batch.servers = this->jobScheduler.takeEnrolments(serversPerCommit);
+        batch.jobs = this->jobScheduler.takeUnsaved(batch.servers.empty() ? jobsPerCommit : jobsBesideServers);
+        this->addBatch(transaction, batch);
+        this->addSummary(transaction);
+        if (batch.jobs.empty() && batch.servers.empty())
+            this->addRemovals(transaction);
+        batch.upkeep = std::exchange(this->upkeepWrites, {});
+        transaction.writes.insert(transaction.writes.end(), batch.upkeep.begin(), batch.upkeep.end());
     }
     if (this->leadership.beatIsDue())
         transaction.writes.push_back(this->leadership.beat(false));
+    if (transaction.writes.empty() && transaction.removals.empty())
+        return;
+    transaction.conditions.push_back(this->leadership.condition());
     this->committing = true;
     this->platform.store.commit(std::move(transaction), commitDeadline,
         this->guarded([this, sentAt = this->clock.now(), batch = std::move(batch)](const TransactionResult& result) {
@@ -296,17 +376,42 @@
         }));
 }
 
-void LeadSession::onCommit(
-    const TransactionResult& result, TimePoint sentAt, const std::vector<ProgressWrite>& batch)
+void LeadSession::addBatch(RowTransaction& transaction, const Batch& batch) const
+{
+    for (const auto& write : batch.jobs) {
+        const RowName name { tables::progress, Leadership::part, write.job };
+        transaction.conditions.push_back({ name, write.expectedVersion });
+        transaction.writes.push_back({ name, write.text });
+    }
+    for (const auto& change : batch.servers) {
+        const RowName name { tables::servers, Leadership::part, change.server };
+        if (change.record)
+            transaction.writes.push_back({ name, toJson(*change.record) });
+        else
+            transaction.removals.push_back(name);
+    }
+}
+
+void LeadSession::addRemovals(RowTransaction& transaction)
+{
+    for (const auto& job : this->jobScheduler.takeExpired(removalsPerCommit)) {
+        for (const auto* table : { tables::jobs, tables::progress })
+            transaction.removals.push_back({ table, Leadership::part, job });
+        transaction.removals.push_back({ tables::jobs, Leadership::part, job + std::string(tables::cancelSuffix) });
+    }
+}
+
+void LeadSession::onCommit(const TransactionResult& result, TimePoint sentAt, const Batch& batch)
 {
     this->committing = false;
     if (result.status == CommitStatus::Committed) {
         this->leadership.confirmed(sentAt);
-        this->jobScheduler.saved(batch, result.version);
+        this->jobScheduler.saved(batch.jobs, result.version);
+        this->jobScheduler.enrolled(batch.servers);
         return this->poke();
     }
     this->hooks.log("progress was not stored",
-        { { "status", static_cast<int>(result.status) }, { "jobs", batch.size() },
+        { { "status", static_cast<int>(result.status) }, { "jobs", batch.jobs.size() },
             { "age_ms", (this->clock.now() - sentAt).count() } });
     this->storedSummary.clear();
     if (result.status == CommitStatus::Conflict) {
@@ -318,10 +423,12 @@
             versions[row.name.key] = row.version;
         }
         // A write whose answer was lost has changed the row; its version is taken over and the write repeated.
-        for (const auto& write : batch)
+        for (const auto& write : batch.jobs)
             this->jobScheduler.progressVersion(write.job, versions[write.job]);
     }
-    this->jobScheduler.notSaved(batch);
+    this->jobScheduler.notSaved(batch.jobs);
+    this->jobScheduler.notEnrolled(batch.servers);
+    this->upkeepWrites.insert(this->upkeepWrites.begin(), batch.upkeep.begin(), batch.upkeep.end());
 }
 
 void LeadSession::release()
--- a/src/io/process/lead-session.h
+++ b/src/io/process/lead-session.h
@@ -5,6 +5,7 @@
 #include "io/process/table-follower.h"
 #include "job/leadership.h"
 #include "job/scheduler.h"
+#include "job/upkeep.h"
 
 #include <waxwinglug/fleet-platform.h>
 
@@ -24,6 +25,10 @@
 namespace tables {
     inline constexpr const char* jobs = "job";
     inline constexpr const char* progress = "progress";
+    // Servers that a lead uses or has used.
+    inline constexpr const char* servers = "server-use";
+    // Machines whose maintenance is done, by wave.
+    inline constexpr const char* upkeep = "upkeep";
     inline constexpr const char* summary = "summary";
     inline constexpr const char* summaryKey = "waiting";
     // A cancellation has the key of its job with this suffix, so that both are read in one range.
@@ -39,10 +44,11 @@
 class LeadSession : public std::enable_shared_from_this<LeadSession> {
 public:
     LeadSession(boost::asio::io_context& context, const FleetPlatform& platform, Leadership& leadership,
-        JobSchedulerRules rules, Clock clock, std::shared_ptr<const FleetConfig> config, LeadHooks hooks);
+        JobSchedulerRules rules, UpkeepRules upkeepRules, Clock clock, std::shared_ptr<const FleetConfig> config, LeadHooks hooks);
 
     void start();
     void setConfig(std::shared_ptr<const FleetConfig> config);
+    void addWave(const MachineWave& wave);
     // Stops at once and lets another VM take the lead.
     void release();
 
@@ -52,16 +58,36 @@
     void poke();
 
 private:
+    // What one transaction of the lead stores.
+    struct Batch {
+        std::vector<ProgressWrite> jobs;
+        std::vector<JobScheduler::Enrolment> servers;
+        std::vector<RowValue> upkeep;
+    };
+    struct WaveReport {
+        MachineWave wave;
+        bool completed = false;
+        int sent = 0; // 1: running, 2: completed
+        bool sending = false;
+    };
+
     JobSchedulerHooks schedulerHooks();
+    UpkeepHooks upkeepHooks();
     void onJobs(std::span<const StoredRow> rows, bool whole);
     void onServers(std::span<const StoredRow> rows, bool whole);
-    void readProgress();
+    void onProgress(std::span<const StoredRow> rows);
+    void onEnrolled(std::span<const StoredRow> rows);
+    void onUpkeep(std::span<const StoredRow> rows);
+    void readOnce(const char* table, void (LeadSession::*apply)(std::span<const StoredRow>));
     void finishLoading();
     void tick();
     void react();
     void storeChanges();
-    void onCommit(const TransactionResult& result, TimePoint sentAt, const std::vector<ProgressWrite>& batch);
-    bool addSummary(RowTransaction& transaction);
+    void sendReports();
+    void addBatch(RowTransaction& transaction, const Batch& batch) const;
+    void addRemovals(RowTransaction& transaction);
+    void addSummary(RowTransaction& transaction);
+    void onCommit(const TransactionResult& result, TimePoint sentAt, const Batch& batch);
     void end(std::string_view reason);
     template <typename Handler> auto guarded(Handler handler);
 
@@ -71,15 +97,22 @@
     const Clock clock;
     const LeadHooks hooks;
     JobScheduler jobScheduler;
+    Upkeep machineUpkeep;
     std::unique_ptr<TableFollower> jobFollower;
     std::unique_ptr<TableFollower> serverFollower;
     boost::asio::steady_timer ticker;
     boost::asio::steady_timer reactor;
-    std::vector<StoredRow> progressRows;
+    std::vector<std::unique_ptr<TableFollower>> readers;
+    std::map<int, MachineWave> waves;
+    std::map<std::string, std::set<std::string>> maintainedMachines; // by number of the wave
+    std::vector<RowValue> upkeepWrites;
+    std::map<int, WaveReport> waveReports;
     std::set<std::string> inheritedCancels;
     bool jobsLoaded = false;
     bool serversLoaded = false;
     bool progressLoaded = false;
+    bool enrolledLoaded = false;
+    bool upkeepLoaded = false;
     // Jobs, progress and servers of the store are known.
     bool loaded = false;
     bool committing = false;
--- a/src/io/process/log.cpp
+++ b/src/io/process/log.cpp
@@ -100,9 +100,10 @@
     sink.reset();
 }
 
-Log::Log(std::string_view component, Clock source)
+Log::Log(std::string_view component, Clock source, int most)
     : prefix(component)
     , clock(std::move(source))
+    , mostLines(most)
 {
 }
 
@@ -139,7 +140,7 @@
             state.written = 0;
             droppedBefore = std::exchange(state.dropped, 0);
         }
-        if (state.written >= linesPerSecond) {
+        if (state.written >= this->mostLines) {
             ++state.dropped;
             ++this->droppedTotal;
             return;
--- a/src/io/process/log.h
+++ b/src/io/process/log.h
@@ -30,12 +30,12 @@
 // The log of one component. All functions may be called from several threads.
 class Log {
 public:
-    // Lines of one event kind per second; further lines of that second are counted and dropped.
+    // Usual bound on the lines of one event kind per second; further lines of that second are counted and dropped.
     static constexpr int linesPerSecond = 10;
     // Further event kinds share one limit, so that generated event texts cannot fill the memory.
     static constexpr std::size_t mostEventKinds = 256;
 
-    Log(std::string_view component, Clock clock);
+    explicit Log(std::string_view component, Clock clock, int mostLines = linesPerSecond);
 
     // `event` is a fixed short sentence and identifies the kind; what varies goes into the fields.
     void info(std::string_view event, std::initializer_list<LogField> fields = {});
@@ -59,6 +59,7 @@
 
     const std::string prefix;
     const Clock clock;
+    const int mostLines; // of one event kind per second
     mutable std::mutex mutex;
     std::map<std::string, Kind, std::less<>> kinds;
     std::uint64_t droppedTotal = 0;
--- a/src/job/job-table.cpp
+++ b/src/job/job-table.cpp
@@ -39,8 +39,8 @@
             for (std::size_t index = 0; index < tasks.size(); ++index) {
                 const auto& task = tasks[index];
                 bits += task.phase == TaskPhase::Done ? '1' : '0';
-                if (task.failures > 0)
-                    failures[taskKey(step, index)] = { task.failures, task.lastFailedRun };
+                if (!task.failedRuns.empty())
+                    failures[taskKey(step, index)] = task.failedRuns;
                 if (!task.checkpoint.empty() && task.phase != TaskPhase::Done)
                     checkpoints[taskKey(step, index)] = task.checkpoint;
             }
@@ -80,12 +80,13 @@
             }
         }
         if (json.contains("failures")) {
-            for (const auto& [key, count] : json["failures"].items()) {
-                if (auto* task = findTask(occurrence, key)) {
-                    task->failures = count.at(0).get<int>();
-                    task->lastFailedRun = count.at(1).get<int>();
-                    task->run = task->lastFailedRun;
-                }
+            for (const auto& [key, runs] : json["failures"].items()) {
+                auto* task = findTask(occurrence, key);
+                if (!task)
+                    continue;
+                task->failedRuns = runs.get<std::vector<int>>();
+                for (const int run : task->failedRuns)
+                    task->run = std::max(task->run, run);
             }
         }
         if (json.contains("checkpoints")) {
--- a/src/job/job-table.h
+++ b/src/job/job-table.h
@@ -30,10 +30,8 @@
     TaskPhase phase = TaskPhase::Waiting;
     // Number of the latest start. Rises with each start, across changes of the lead scheduler.
     int run = 0;
-    // Runs that ended as failed and were stored or are about to be.
-    int failures = 0;
-    // Stored with the failures, so that the next lead does not count the same end again.
-    int lastFailedRun = 0;
+    // Numbers of the runs that ended as failed. Each counts once, whichever lead or report shows it.
+    std::vector<int> failedRuns;
     // Empty: none.
     std::string checkpoint;
     // Set from Starting to Stopping, nullptr otherwise.
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -72,8 +72,8 @@
 bool JobScheduler::isUsable(const Server& server) const
 {
     const auto now = this->clock.now();
-    return server.listed && !server.record.draining && server.reachable() && !server.closing
-        && now >= server.refusesUntil && now >= server.ejectedUntil && !(server.probing && !server.runs.empty());
+    return server.listed && server.enrolled && !server.record.draining && server.reachable() && !server.closing
+        && server.strays.empty() && now >= server.refusesUntil && now >= server.ejectedUntil && !(server.probing && !server.runs.empty());
 }
 
 // A server of the previous lead has not answered yet and may run tasks that we do not know of.
@@ -231,7 +231,7 @@
         if (spec.latencyTarget > Duration(0))
             score -= 10'000'000LL * filling + 1'000'000LL * serving;
         if (spec.lasting)
-            score -= 2'000'000LL * ofStep;
+            score -= 2'000'000LL * ofStep + (server->due ? 5'000'000LL : 0);
         if (score > bestScore) {
             bestScore = score;
             best = server;
--- a/src/job/reports.cpp
+++ b/src/job/reports.cpp
@@ -50,19 +50,27 @@
         if (!ended.checkpoint.empty())
             run->second.task->checkpoint = ended.checkpoint;
         this->endRun(server, run, ended.end, true);
-    } else if (task && !job->isOver() && task->phase == TaskPhase::Waiting && ended.run > task->run) {
-        // The run was started by an earlier lead, which did not store its end.
-        task->run = ended.run;
-        if (!ended.checkpoint.empty())
-            task->checkpoint = ended.checkpoint;
-        if (ended.end == RunEnd::Done)
-            this->taskDone(*job, ended.task, *task);
-        else if (ended.end == RunEnd::Failed)
-            this->taskFailed(*job, ended.task, *task);
+    } else if (task && !job->isOver()) {
+        this->applyUnknownEnd(*job, *task, ended);
     }
     server.unstoredEnds.push_back({ ended.number, job && job->dirtyTicket != 0 ? job->dirtyTicket : 0 });
 }
 
+// The end of a run that an earlier lead started, or of one that was given up because its server was not reached.
+void JobScheduler::applyUnknownEnd(Job& job, Task& task, const EndedRun& ended)
+{
+    // A failure counts as soon as its end is acknowledged, even if the task has been started again.
+    if (ended.end == RunEnd::Failed && task.phase != TaskPhase::Done)
+        this->taskFailed(job, ended.task, task, ended.run);
+    if (task.phase != TaskPhase::Waiting || ended.run <= task.run)
+        return;
+    task.run = ended.run;
+    if (!ended.checkpoint.empty())
+        task.checkpoint = ended.checkpoint;
+    if (ended.end == RunEnd::Done)
+        this->taskDone(job, ended.task, task);
+}
+
 // Ends a run and gives its task its next phase.
 void JobScheduler::endRun(Server& server, std::map<TaskId, Run>::iterator run, RunEnd end, bool listed)
 {
@@ -89,7 +97,7 @@
         task.avoid = server.record.id;
         if (!step.lasting)
             this->noteTrouble(server, job, "a task failed there");
-        this->taskFailed(job, id, task);
+        this->taskFailed(job, id, task, task.run);
     }
 }
 
@@ -105,12 +113,12 @@
     server.runs.erase(run);
 }
 
-std::uint64_t JobScheduler::taskDone(Job& job, const TaskId& id, Task& task)
+void JobScheduler::taskDone(Job& job, const TaskId& id, Task& task)
 {
     const auto number = static_cast<std::size_t>(id.step);
     const auto& spec = job.spec.steps[number];
     if (spec.lasting)
-        return 0;
+        return;
     auto& step = job.open.at(id.occurrence).steps[number];
     setPhase(step, task, TaskPhase::Done);
     if (spec.gang) {
@@ -126,10 +134,9 @@
         for (auto& member : step.tasks)
             setPhase(step, member, TaskPhase::Done);
     }
-    const auto ticket = this->markUnsaved(job);
+    this->markUnsaved(job);
     if (step.isComplete())
         this->completeOccurrence(job, id.occurrence);
-    return ticket;
 }
 
 void JobScheduler::completeOccurrence(Job& job, int occurrence)
@@ -142,17 +149,15 @@
         this->finishJob(job, JobPhase::Completed, "all tasks are done");
 }
 
-std::uint64_t JobScheduler::taskFailed(Job& job, const TaskId& id, Task& task)
+void JobScheduler::taskFailed(Job& job, const TaskId& id, Task& task, int run)
 {
     const auto& step = job.spec.steps[static_cast<std::size_t>(id.step)];
-    if (step.lasting)
-        return 0;
-    ++task.failures;
-    task.lastFailedRun = task.run;
-    const auto ticket = this->markUnsaved(job);
-    if (task.failures >= job.retries)
+    if (step.lasting || std::ranges::find(task.failedRuns, run) != task.failedRuns.end())
+        return;
+    task.failedRuns.push_back(run);
+    this->markUnsaved(job);
+    if (static_cast<int>(task.failedRuns.size()) >= job.retries)
         this->finishJob(job, JobPhase::Failed, "a task failed too often");
-    return ticket;
 }
 
 void JobScheduler::applyRunning(Server& server, const RunningTask& running, TimePoint sentAt)
@@ -320,6 +325,7 @@
     this->loseRuns(server, reason);
     server.answered = false;
     server.inherited = false;
+    server.enrolled = false;
     server.processedEnds = 0;
     server.storedEnds = 0;
     server.unstoredEnds.clear();
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -119,12 +119,11 @@
         this->finishJob(*job, JobPhase::Cancelled, "cancelled by the caller");
 }
 
-void JobScheduler::addServer(ServerRecord record, bool inherited)
+void JobScheduler::addServer(ServerRecord record)
 {
     auto& place = this->serverMap[record.id];
     if (!place) {
         place = std::make_unique<Server>();
-        place->inherited = inherited;
         this->hooks.log("backend server listed",
             { { "server", record.id }, { "service", record.service }, { "machine", record.machine },
                 { "rack", record.rack } });
@@ -136,11 +135,65 @@
     place->record = std::move(record);
     place->listed = true;
     const auto& added = place->record;
+    place->closing = this->closingMachines.contains(added.machine);
+    place->due = this->dueMachines.contains(added.machine);
     for (const auto& [id, other] : this->serverMap) {
         const bool sameMachine = !added.machine.empty() && other->record.machine == added.machine;
         if (sameMachine && id != added.id && other->record.startedAt < added.startedAt)
             this->endLife(*other, "a later server lives on its machine");
     }
+    this->touched.insert(added.service);
+}
+
+void JobScheduler::addEnrolled(const ServerRecord& record)
+{
+    auto& place = this->serverMap[record.id];
+    if (place && place->record.startedAt != record.startedAt)
+        return; // it has started again since
+    if (!place) {
+        place = std::make_unique<Server>();
+        place->record = record;
+        place->listed = false;
+    }
+    place->enrolled = true;
+    place->inherited = true;
+}
+
+std::vector<JobScheduler::Enrolment> JobScheduler::takeEnrolments(std::size_t most)
+{
+    std::vector<Enrolment> changes;
+    while (changes.size() < most && !this->discharged.empty()) {
+        // A server that answers again under its old id stays in use.
+        if (!this->serverMap.contains(this->discharged.back()))
+            changes.push_back({ this->discharged.back(), std::nullopt });
+        this->discharged.pop_back();
+    }
+    for (const auto& [id, server] : this->serverMap) {
+        if (changes.size() >= most)
+            break;
+        if (!server->enrolled && server->answered && server->listed)
+            changes.push_back({ id, server->record });
+    }
+    return changes;
+}
+
+void JobScheduler::enrolled(std::span<const Enrolment> stored)
+{
+    for (const auto& change : stored) {
+        const auto server = this->serverMap.find(change.server);
+        if (server == this->serverMap.end() || !change.record)
+            continue;
+        server->second->enrolled = true;
+        this->touched.insert(change.record->service);
+    }
+}
+
+void JobScheduler::notEnrolled(std::span<const Enrolment> failed)
+{
+    for (const auto& change : failed) {
+        if (!change.record)
+            this->discharged.push_back(change.server);
+    }
 }
 
 void JobScheduler::removeServer(std::string_view id)
@@ -289,12 +342,36 @@
 
 void JobScheduler::setClosing(std::string_view machine, bool closing)
 {
+    if (closing)
+        this->closingMachines.emplace(machine);
+    else
+        this->closingMachines.erase(std::string(machine));
     for (auto& [id, server] : this->serverMap) {
         if (server->record.machine == machine)
             server->closing = closing;
     }
 }
 
+void JobScheduler::setDue(std::string_view machine, bool due)
+{
+    if (due)
+        this->dueMachines.emplace(machine);
+    else
+        this->dueMachines.erase(std::string(machine));
+    for (auto& [id, server] : this->serverMap) {
+        if (server->record.machine == machine)
+            server->due = due;
+    }
+}
+
+bool JobScheduler::hasLasting(const Server& server)
+{
+    return std::ranges::any_of(server.runs, [](const auto& entry) {
+        const auto& run = entry.second;
+        return run.job->spec.steps[static_cast<std::size_t>(run.step)].lasting;
+    });
+}
+
 const Server* JobScheduler::serverOn(std::string_view machine) const
 {
     const Server* latest = nullptr;
@@ -316,18 +393,31 @@
     }
 }
 
-void JobScheduler::tick()
+// Gives up the runs of servers whose leases are over, and forgets servers that are gone.
+void JobScheduler::dropLostServers()
 {
-    this->openDueJobs();
     const auto now = this->clock.now();
+    const bool inheritedLeasesOver = now - this->begunAt > this->rules.inheritedLease;
     for (auto& [id, server] : this->serverMap) {
+        if (server->inherited && inheritedLeasesOver)
+            server->inherited = false;
         if (!server->runs.empty() && server->missedHolds > 0 && server->leaseSurelyOver(now))
             this->loseRuns(*server, "its lease is over");
     }
-    std::erase_if(this->serverMap, [](const auto& entry) {
+    std::erase_if(this->serverMap, [this](const auto& entry) {
         const auto& server = *entry.second;
-        return !server.listed && server.runs.empty() && server.missedHolds > 0 && !server.inherited;
+        const bool gone = !server.listed && server.runs.empty() && server.missedHolds > 0 && !server.inherited
+            && !server.holding;
+        if (gone && server.enrolled)
+            this->discharged.push_back(entry.first);
+        return gone;
     });
+}
+
+void JobScheduler::tick()
+{
+    this->openDueJobs();
+    this->dropLostServers();
     this->repeatStops();
     this->sendDueHolds();
     this->dispatch(true);
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -75,7 +75,9 @@
     void addJob(JobSpec spec, bool inherited);
     void loadProgress(std::string_view job, std::string_view text, std::uint64_t rowVersion);
     void cancelJob(std::string_view job);
-    void addServer(ServerRecord record, bool inherited);
+    void addServer(ServerRecord record);
+    // A server that an earlier lead has used, whether it is listed or not.
+    void addEnrolled(const ServerRecord& record);
     void removeServer(std::string_view id);
 
     // Answers to orders. `sentAt` is when the call began.
@@ -96,6 +98,15 @@
     void progressVersion(std::string_view job, std::uint64_t rowVersion);
     bool hasUnsaved() const { return !this->unsaved.empty(); }
 
+    // Servers whose use is to be stored, or removed from the store when `record` is empty.
+    struct Enrolment {
+        std::string server;
+        std::optional<ServerRecord> record;
+    };
+    std::vector<Enrolment> takeEnrolments(std::size_t most);
+    void enrolled(std::span<const Enrolment> stored);
+    void notEnrolled(std::span<const Enrolment> failed);
+
     // Jobs that ended long ago and are forgotten here; their rows can be removed.
     std::vector<std::string> takeExpired(std::size_t most);
     // Accepted jobs of each queue of which no task has started.
@@ -104,6 +115,9 @@
 
     // Maintenance. A closing machine gets no new tasks.
     void setClosing(std::string_view machine, bool closing);
+    // Maintenance will want the machine.
+    void setDue(std::string_view machine, bool due);
+    static bool hasLasting(const detail::Server& server);
     // The server that lives on a machine; nullptr when there is none.
     const detail::Server* serverOn(std::string_view machine) const;
     // Stops lasting tasks on a machine as far as their steps can spare them.
@@ -134,7 +148,7 @@
     void advanceStoredEnds();
     void finishJob(detail::Job& job, JobPhase state, std::string_view reason);
     void openDueJobs();
-    void forgetEnded();
+    void dropLostServers();
     bool isActive(const detail::Job& job) const { return !job.isOver(); }
 
     // orders.cpp
@@ -155,8 +169,9 @@
     void adopt(detail::Server& server, const RunningTask& running);
     void releaseRun(detail::Server& server, std::map<TaskId, detail::Run>::iterator run);
     void endRun(detail::Server& server, std::map<TaskId, detail::Run>::iterator run, RunEnd end, bool listed);
-    std::uint64_t taskDone(detail::Job& job, const TaskId& id, detail::Task& task);
-    std::uint64_t taskFailed(detail::Job& job, const TaskId& id, detail::Task& task);
+    void applyUnknownEnd(detail::Job& job, detail::Task& task, const EndedRun& ended);
+    void taskDone(detail::Job& job, const TaskId& id, detail::Task& task);
+    void taskFailed(detail::Job& job, const TaskId& id, detail::Task& task, int run);
     void completeOccurrence(detail::Job& job, int occurrence);
     void endLife(detail::Server& server, std::string_view reason);
     void loseRuns(detail::Server& server, std::string_view reason);
@@ -196,6 +211,10 @@
     // Ticket of the oldest change in the batch that is being stored; 0: none is.
     std::uint64_t inFlightTicket = 0;
     std::vector<detail::Job*> ended;
+    std::set<std::string> dueMachines;
+    std::set<std::string> closingMachines;
+    // Servers that are gone for good; they are removed from the store.
+    std::vector<std::string> discharged;
 };
 
 // What a task takes of a server's room: filling tasks use only what others leave.
--- a/src/job/server-table.h
+++ b/src/job/server-table.h
@@ -37,8 +37,10 @@
     ServerRecord record;
     // Its row is in the store.
     bool listed = true;
-    // It was listed when this node took the lead, so it may run tasks of the previous lead.
+    // An earlier lead used it, and it has not answered this one: it may run tasks that are not known here.
     bool inherited = false;
+    // The store knows that the lead uses it; nothing is started there before, so that the next lead asks it as well.
+    bool enrolled = false;
     // It has answered with this lead's fence, so it refuses every earlier lead.
     bool answered = false;
     bool holding = false; // a hold call is under way
@@ -57,6 +59,8 @@
     std::map<TaskId, int> strays;
     // Gets no new tasks, because maintenance wants the machine.
     bool closing = false;
+    // Maintenance will want the machine soon; lasting tasks are better placed elsewhere.
+    bool due = false;
     // Failed or stalled runs of different jobs in a row.
     int troubles = 0;
     std::string lastTroubleJob;
--- /dev/null
+++ b/src/job/upkeep.cpp
@@ -0,0 +1,259 @@
+// Stages of the machines of a wave.
+#include "job/upkeep.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace waxwinglug {
+
+using detail::Server;
+
+namespace {
+
+    // Pause before an order that was refused or not answered is sent again.
+    constexpr Duration orderPause { 400 };
+    // Time between two readings of the machine list while a machine is awaited.
+    constexpr Duration listInterval { 700 };
+    // A server that is still busy after this time is taken down with its short tasks; they rarely run for 3 s.
+    constexpr Duration closingPatience { 4000 };
+    // Share of a service's servers that may be closing or down at once, in percent, and while the wave is late.
+    constexpr int usualShare = 25;
+    constexpr int lateShare = 50;
+    // Machines that may be closing beyond those that can go down at once, so that the next one is ready in time.
+    constexpr int closingAhead = 2;
+
+} // namespace
+
+Upkeep::Upkeep(JobScheduler& jobScheduler, UpkeepRules upkeepRules, Clock source, UpkeepHooks upkeepHooks)
+    : scheduler(jobScheduler)
+    , rules(upkeepRules)
+    , clock(std::move(source))
+    , hooks(std::move(upkeepHooks))
+    , begunAt(clock.now())
+{
+}
+
+void Upkeep::addWave(const MachineWave& spec, const std::set<std::string>& done)
+{
+    if (this->waves.contains(spec.number))
+        return;
+    auto& wave = this->waves[spec.number];
+    wave.spec = spec;
+    wave.begunAt = this->clock.now();
+    for (const auto& name : spec.machines) {
+        auto& machine = wave.machines[name];
+        machine.stage = done.contains(name) ? Stage::Done : Stage::Due;
+        this->scheduler.setDue(name, machine.stage == Stage::Due);
+    }
+    this->hooks.log("maintenance wave begins",
+        { { "wave", spec.number }, { "machines", spec.machines.size() }, { "at_once", spec.atOnce },
+            { "within_ms", spec.within.count() }, { "done", done.size() } });
+    this->report(wave);
+}
+
+bool Upkeep::isIdle() const
+{
+    return std::ranges::all_of(this->waves, [](const auto& wave) { return wave.second.completed; });
+}
+
+int Upkeep::countOf(const Wave& wave, std::initializer_list<Stage> stages)
+{
+    return static_cast<int>(std::ranges::count_if(wave.machines,
+        [stages](const auto& entry) { return std::ranges::find(stages, entry.second.stage) != stages.end(); }));
+}
+
+void Upkeep::report(Wave& wave)
+{
+    std::set<std::string> done;
+    for (const auto& [name, machine] : wave.machines) {
+        if (machine.stage == Stage::Done)
+            done.insert(name);
+    }
+    wave.completed = done.size() == wave.machines.size();
+    if (wave.completed)
+        this->hooks.log("maintenance wave is completed",
+            { { "wave", wave.spec.number }, { "ms", (this->clock.now() - wave.begunAt).count() } });
+    this->hooks.report(wave.spec, wave.completed, done);
+}
+
+void Upkeep::setStage(const std::string& name, Machine& machine, Stage stage)
+{
+    machine.stage = stage;
+    machine.since = this->clock.now();
+    this->scheduler.setClosing(name, stage != Stage::Due && stage != Stage::Done);
+    if (stage == Stage::Done)
+        this->scheduler.setDue(name, false);
+}
+
+void Upkeep::tick()
+{
+    const auto now = this->clock.now();
+    if (this->fenced || now - this->begunAt < this->rules.quietStart)
+        return;
+    bool waits = false;
+    for (auto& [number, wave] : this->waves) {
+        if (wave.completed)
+            continue;
+        this->advance(wave);
+        waits = waits || countOf(wave, { Stage::Ordered, Stage::Down }) > 0 || this->listedAt == TimePoint {};
+    }
+    if (waits && now - this->askedAt >= listInterval) {
+        this->askedAt = now;
+        this->hooks.listMachines();
+    }
+}
+
+void Upkeep::advance(Wave& wave)
+{
+    this->closeMore(wave);
+    // Machines that are empty go first, whatever their stage.
+    for (auto& [name, machine] : wave.machines)
+        this->advanceMachine(wave, name, machine);
+}
+
+// True when the wave cannot be finished in time at the usual pace.
+bool Upkeep::isLate(const Wave& wave) const
+{
+    const auto left = wave.spec.within - (this->clock.now() - wave.begunAt);
+    const int open = countOf(wave, { Stage::Due, Stage::Closing });
+    const int rounds = open / std::max(wave.spec.atOnce, 1) + 1;
+    return (this->rules.maintenanceTime + closingPatience) * rounds > left;
+}
+
+bool Upkeep::serviceCanSpare(const Server& server) const
+{
+    int all = 0;
+    int away = 0;
+    for (const auto& [id, other] : this->scheduler.servers()) {
+        if (!other->listed || other->record.service != server.record.service)
+            continue;
+        ++all;
+        away += other->closing || !other->reachable();
+    }
+    const bool late = std::ranges::any_of(
+        this->waves, [this](const auto& wave) { return !wave.second.completed && this->isLate(wave.second); });
+    return (away + 1) * 100 <= std::max(all * (late ? lateShare : usualShare), 100);
+}
+
+void Upkeep::closeMore(Wave& wave)
+{
+    const int most = wave.spec.atOnce + closingAhead;
+    int busy = countOf(wave, { Stage::Closing, Stage::Ordered, Stage::Down });
+    // The machines with the least to wait for come first.
+    std::vector<std::pair<std::int64_t, std::string>> due;
+    for (const auto& [name, machine] : wave.machines) {
+        if (machine.stage != Stage::Due || machine.notBefore > this->clock.now())
+            continue;
+        const auto* server = this->scheduler.serverOn(name);
+        due.emplace_back(server ? server->used.cpu : 0, name);
+    }
+    std::ranges::sort(due);
+    for (const auto& [load, name] : due) {
+        if (busy >= most)
+            return;
+        const auto* server = this->scheduler.serverOn(name);
+        if (server && !this->serviceCanSpare(*server))
+            continue;
+        this->setStage(name, wave.machines.at(name), Stage::Closing);
+        ++busy;
+    }
+}
+
+void Upkeep::advanceMachine(Wave& wave, const std::string& name, Machine& machine)
+{
+    const auto now = this->clock.now();
+    const auto* server = this->scheduler.serverOn(name);
+    switch (machine.stage) {
+    case Stage::Due:
+    case Stage::Done:
+        return;
+    case Stage::Closing: {
+        this->scheduler.evacuate(name);
+        const bool patient = now - machine.since < closingPatience;
+        const bool ready = !server || server->runs.empty() || (!patient && !JobScheduler::hasLasting(*server));
+        const bool room = countOf(wave, { Stage::Ordered, Stage::Down }) < wave.spec.atOnce;
+        if (ready && room && now >= machine.notBefore)
+            this->sendOrder(wave, name, machine);
+        return;
+    }
+    case Stage::Ordered:
+        if (now >= machine.notBefore)
+            this->sendOrder(wave, name, machine);
+        return;
+    case Stage::Down: {
+        const auto record = this->listed.find(name);
+        const bool listedUp = record != this->listed.end() && this->listedAt > machine.since + this->rules.maintenanceTime
+            && record->second.state == MachineState::Up
+            && (machine.oldServer.empty() || record->second.server != machine.oldServer);
+        const bool newServer = server && server->record.id != machine.oldServer;
+        if (listedUp || newServer) {
+            this->setStage(name, machine, Stage::Done);
+            this->hooks.log("machine is back from maintenance",
+                { { "machine", name }, { "wave", wave.spec.number } });
+            this->report(wave);
+        }
+        return;
+    }
+    }
+}
+
+void Upkeep::sendOrder(Wave& wave, const std::string& name, Machine& machine)
+{
+    const auto* server = this->scheduler.serverOn(name);
+    if (machine.stage != Stage::Ordered)
+        machine.oldServer = server ? server->record.id : "";
+    this->setStage(name, machine, Stage::Ordered);
+    // The answer takes at most 1.5 s; until then the order is not repeated.
+    machine.notBefore = this->clock.now() + std::chrono::seconds(2);
+    this->hooks.log("maintenance of a machine is ordered",
+        { { "machine", name }, { "wave", wave.spec.number }, { "server", machine.oldServer },
+            { "runs", server ? server->runs.size() : 0 },
+            { "down", countOf(wave, { Stage::Ordered, Stage::Down }) } });
+    this->hooks.order(name, wave.spec.number);
+}
+
+void Upkeep::orderAnswered(const std::string& name, int number, MachineOrderStatus status)
+{
+    const auto wave = this->waves.find(number);
+    if (wave == this->waves.end() || !wave->second.machines.contains(name))
+        return;
+    auto& machine = wave->second.machines.at(name);
+    if (machine.stage != Stage::Ordered)
+        return;
+    const auto now = this->clock.now();
+    machine.notBefore = now + orderPause;
+    switch (status) {
+    case MachineOrderStatus::Accepted:
+        this->setStage(name, machine, Stage::Down);
+        this->scheduler.machineStopped(name);
+        return;
+    case MachineOrderStatus::FenceTooLow:
+        this->hooks.log("a later lead orders maintenance", { { "machine", name } });
+        this->fenced = true;
+        return;
+    case MachineOrderStatus::Busy:
+        // Not up, or its server is leaving: it gets no order until that is over.
+        this->setStage(name, machine, Stage::Closing);
+        return;
+    case MachineOrderStatus::NotOfWave:
+    case MachineOrderStatus::Invalid:
+        this->hooks.log("machine is not part of the wave", { { "machine", name }, { "wave", number } });
+        this->setStage(name, machine, Stage::Done);
+        this->report(wave->second);
+        return;
+    case MachineOrderStatus::Refused:
+        // Nothing was done, and an order without an answer is not repeated as if it were refused: it keeps its stage.
+    case MachineOrderStatus::Unknown:
+        return;
+    }
+}
+
+void Upkeep::machinesListed(std::span<const MachineRecord> machines)
+{
+    this->listed.clear();
+    this->listedAt = this->clock.now();
+    for (const auto& machine : machines)
+        this->listed.emplace(machine.machine, machine);
+}
+
+} // namespace waxwinglug
--- /dev/null
+++ b/src/job/upkeep.h
@@ -0,0 +1,90 @@
+// Carries out maintenance waves: closes machines, moves what runs on them, orders their maintenance, and reports.
+//
+// Belongs to the lead and does no I/O. An order may be repeated: the platform accepts one that was carried out before.
+#pragma once
+
+#include "job/scheduler.h"
+
+#include <waxwinglug/fleet-platform.h>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace waxwinglug {
+
+struct UpkeepRules {
+    // Two entry VMs may not give orders for one machine within this time, so a new lead waits that long.
+    Duration quietStart { 0 };
+    // How long a maintenance takes a machine away.
+    Duration maintenanceTime { std::chrono::seconds(2) };
+};
+
+struct UpkeepHooks {
+    std::function<void(const std::string& machine, int wave)> order;
+    std::function<void()> listMachines;
+    // Tells the operator how far a wave is; `done` are the machines that need no further order.
+    std::function<void(const MachineWave& wave, bool completed, const std::set<std::string>& done)> report;
+    LogHook log;
+};
+
+class Upkeep {
+public:
+    Upkeep(JobScheduler& scheduler, UpkeepRules rules, Clock clock, UpkeepHooks hooks);
+
+    // `done` are machines whose maintenance an earlier lead has seen through.
+    void addWave(const MachineWave& wave, const std::set<std::string>& done);
+    void machinesListed(std::span<const MachineRecord> machines);
+    void orderAnswered(const std::string& machine, int wave, MachineOrderStatus status);
+    void tick();
+
+    bool isIdle() const;
+
+private:
+    enum class Stage {
+        Due,
+        Closing, // gets no new tasks; what runs there ends or is moved
+        Ordered, // an order is on its way or has no answer
+        Down, // accepted; the machine is away
+        Done,
+    };
+    struct Machine {
+        Stage stage = Stage::Due;
+        TimePoint since;
+        TimePoint notBefore;
+        std::string oldServer; // the server that lived there when the order was accepted
+    };
+    struct Wave {
+        MachineWave spec;
+        TimePoint begunAt;
+        std::map<std::string, Machine> machines;
+        bool completed = false;
+    };
+
+    void advance(Wave& wave);
+    void closeMore(Wave& wave);
+    void advanceMachine(Wave& wave, const std::string& name, Machine& machine);
+    void sendOrder(Wave& wave, const std::string& name, Machine& machine);
+    void setStage(const std::string& name, Machine& machine, Stage stage);
+    void report(Wave& wave);
+    bool serviceCanSpare(const detail::Server& server) const;
+    bool isLate(const Wave& wave) const;
+    static int countOf(const Wave& wave, std::initializer_list<Stage> stages);
+
+    JobScheduler& scheduler;
+    const UpkeepRules rules;
+    const Clock clock;
+    const UpkeepHooks hooks;
+    const TimePoint begunAt;
+    std::map<int, Wave> waves;
+    // Last complete list of machines, by name.
+    std::map<std::string, MachineRecord> listed;
+    TimePoint listedAt;
+    TimePoint askedAt;
+    bool fenced = false; // a later lead gives the orders
+};
+
+} // namespace waxwinglug
--- a/src/job/work.cpp
+++ b/src/job/work.cpp
@@ -148,6 +148,29 @@
     checkJob(spec);
 }
 
+void to_json(Json& json, const ServerRecord& server)
+{
+    json = Json { { "id", server.id }, { "service", server.service }, { "host", server.address.host },
+        { "port", server.address.port }, { "dataCentre", server.dataCentre }, { "rack", server.rack },
+        { "labels", server.labels }, { "cpu", server.capacity.cpu }, { "memory", server.capacity.memory },
+        { "accelerators", server.capacity.accelerators }, { "machine", server.machine },
+        { "startedAt", server.startedAt.time_since_epoch().count() } };
+}
+
+void from_json(const Json& json, ServerRecord& server)
+{
+    server.id = json.at("id").get<std::string>();
+    server.service = json.at("service").get<std::string>();
+    server.address = { json.at("host").get<std::string>(), json.at("port").get<std::uint16_t>() };
+    server.dataCentre = json.at("dataCentre").get<std::string>();
+    server.rack = json.at("rack").get<std::string>();
+    server.labels = json.at("labels").get<std::vector<std::string>>();
+    server.capacity = { json.at("cpu").get<std::int64_t>(), json.at("memory").get<std::int64_t>(),
+        json.at("accelerators").get<std::int64_t>() };
+    server.machine = json.at("machine").get<std::string>();
+    server.startedAt = WallTime(Duration(json.at("startedAt").get<std::int64_t>()));
+}
+
 std::string_view phaseName(JobPhase state)
 {
     return phaseNames[static_cast<std::size_t>(state)].second;
