--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -169,7 +169,7 @@
     void followConfig()
     {
         this->configFollower = std::make_unique<TableFollower>(this->context, this->platform.store,
-            RowName { this->platform.formats.operatorTable, "", "" }, 0,
+            this->platform.formats.operatorTable, std::vector<std::string> { "" }, 0,
             this->followerHooks([this](std::span<const StoredRow> rows) { this->onOperatorRows(rows); }));
         this->configFollower->start();
     }
@@ -208,7 +208,7 @@
     void followLead()
     {
         this->leadFollower = std::make_unique<TableFollower>(this->context, this->platform.store,
-            RowName { Leadership::table, Leadership::part, "" }, 0,
+            Leadership::table, std::vector<std::string> { Leadership::part }, 0,
             this->followerHooks([this](std::span<const StoredRow> rows) {
                 this->leadership.observe(rows);
                 this->startSession();
--- a/src/io/process/job-gateway.cpp
+++ b/src/io/process/job-gateway.cpp
@@ -1,8 +1,7 @@
 // Submitting, asking for and cancelling jobs.
 #include "io/process/job-gateway.h"
 
-#include "io/process/lead-session.h"
-#include "job/leadership.h"
+#include "io/process/tables.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
@@ -19,7 +18,10 @@
     constexpr Duration answerReserve { 150 };
     // One attempt at the store; a slow store takes about 0.6 s.
     constexpr Duration attemptDeadline { 800 };
+    // Pause before the first further attempt; each later one waits twice as long. Attempts that a store refuses for its
+    // load would only add to it.
     constexpr Duration retryPause { 60 };
+    constexpr int mostDoublings = 3;
     // A store that is down or refuses is back after seconds; the balancer takes about as long to move callers.
     constexpr std::string_view retryAfterSeconds = "1";
     constexpr std::size_t mostIdLength = 64;
@@ -32,13 +34,6 @@
         return !id.empty() && id.size() <= mostIdLength && std::ranges::all_of(id, isPlain);
     }
 
-    RowName jobRow(std::string_view id) { return { tables::jobs, Leadership::part, std::string(id) }; }
-
-    RowName cancelRow(std::string_view id)
-    {
-        return { tables::jobs, Leadership::part, std::string(id).append(tables::cancelSuffix) };
-    }
-
     // The end of the range that holds exactly one key.
     std::string after(std::string_view key) { return std::string(key) + '\0'; }
 
@@ -61,6 +56,7 @@
     std::string stored; // the row that is written
     // A write may still be carried out, so the request can no longer be refused.
     bool mayBeStored = false;
+    int attempts = 0; // that were followed by another one
 };
 
 JobGateway::JobGateway(boost::asio::io_context& io, const FleetPlatform& fleetPlatform, Clock source,
@@ -135,8 +131,8 @@
 void JobGateway::commitJob(const ExchangePtr& exchange)
 {
     RowTransaction transaction;
-    transaction.conditions.push_back({ jobRow(exchange->job), 0 });
-    transaction.writes.push_back({ jobRow(exchange->job), exchange->stored });
+    transaction.conditions.push_back({ tables::jobRow(exchange->job), 0 });
+    transaction.writes.push_back({ tables::jobRow(exchange->job), exchange->stored });
     const auto deadline = std::min(attemptDeadline, this->left(*exchange));
     this->platform.store.commit(std::move(transaction), deadline, [this, exchange](const TransactionResult& result) {
         if (result.status == CommitStatus::Committed)
@@ -161,7 +157,7 @@
         return this->answer(exchange, 504, "", "the store lost an answer; the job may be stored");
     const auto deadline = std::min(attemptDeadline, this->left(*exchange));
     this->platform.store.list(
-        jobRow(exchange->job), after(exchange->job), deadline, [this, exchange](const std::optional<RowPage>& page) {
+        tables::jobRow(exchange->job), after(exchange->job), deadline, [this, exchange](const std::optional<RowPage>& page) {
             if (page && !page->rows.empty())
                 return this->answer(exchange, 200, "", "stored; the first answer was lost");
             this->retryLater(exchange, page ? &JobGateway::commitJob : &JobGateway::readBack);
@@ -194,13 +190,13 @@
 {
     if (this->left(*exchange) < Duration(1))
         return this->answer(exchange, 504, "", "the store does not answer");
-    this->platform.store.list(jobRow(exchange->job), after(cancelRow(exchange->job).key),
+    this->platform.store.list(tables::jobRow(exchange->job), after(tables::cancelRow(exchange->job).key),
         std::min(attemptDeadline, this->left(*exchange)), [this, exchange](const std::optional<RowPage>& page) {
             if (!page)
                 return this->retryLater(exchange, &JobGateway::showPending);
             if (page->rows.empty() || page->rows.front().name.key != exchange->job)
                 return this->answer(exchange, 410, "", "no such job");
-            const auto cancelKey = cancelRow(exchange->job).key;
+            const auto cancelKey = tables::cancelRow(exchange->job).key;
             const bool cancelled = std::ranges::any_of(
                 page->rows, [&cancelKey](const StoredRow& row) { return row.name.key == cancelKey; });
             const auto state = cancelled ? JobPhase::Cancelled : JobPhase::Running;
@@ -212,7 +208,7 @@
 {
     if (this->left(*exchange) < Duration(1))
         return this->answer(exchange, 504, "", "the store does not answer; the job may be cancelled");
-    this->platform.store.list(jobRow(exchange->job), after(exchange->job),
+    this->platform.store.list(tables::jobRow(exchange->job), after(exchange->job),
         std::min(attemptDeadline, this->left(*exchange)), [this, exchange](const std::optional<RowPage>& page) {
             if (!page)
                 return this->retryLater(exchange, &JobGateway::cancel);
@@ -225,8 +221,8 @@
 void JobGateway::commitCancel(const ExchangePtr& exchange, std::uint64_t jobVersion)
 {
     RowTransaction transaction;
-    transaction.conditions.push_back({ jobRow(exchange->job), jobVersion });
-    transaction.writes.push_back({ cancelRow(exchange->job), exchange->team });
+    transaction.conditions.push_back({ tables::jobRow(exchange->job), jobVersion });
+    transaction.writes.push_back({ tables::cancelRow(exchange->job), exchange->team });
     this->platform.store.commit(std::move(transaction), std::min(attemptDeadline, std::max(this->left(*exchange), retryPause)),
         [this, exchange](const TransactionResult& result) {
             if (result.status == CommitStatus::Committed)
@@ -260,7 +256,8 @@
 
 void JobGateway::retryLater(const ExchangePtr& exchange, void (JobGateway::*step)(const ExchangePtr&))
 {
-    auto timer = std::make_shared<boost::asio::steady_timer>(this->context, retryPause);
+    const auto pause = retryPause * (1 << std::min(exchange->attempts++, mostDoublings));
+    auto timer = std::make_shared<boost::asio::steady_timer>(this->context, std::min(pause, std::max(this->left(*exchange), Duration(1))));
     timer->async_wait([this, exchange, step, timer](const boost::system::error_code& error) {
         if (!error)
             (this->*step)(exchange);
--- a/src/io/process/lead-session.cpp
+++ b/src/io/process/lead-session.cpp
@@ -18,7 +18,7 @@
     constexpr std::size_t jobsPerCommit = 40;
     constexpr std::size_t jobsBesideServers = 20;
     constexpr std::size_t serversPerCommit = 40;
-    constexpr std::size_t removalsPerCommit = 3; // jobs, of three rows each
+    constexpr std::size_t removalsPerTick = 1; // jobs; ended ones are as many as accepted ones, a few dozen a second
     // Callers may see counts that are 2 s old.
     constexpr Duration summaryInterval { 700 };
 
@@ -152,10 +152,10 @@
     };
     const auto least = this->leadership.condition().version;
     this->serverFollower = std::make_unique<TableFollower>(this->context, this->platform.store,
-        RowName { this->platform.formats.serverTable, "", "" }, least,
+        this->platform.formats.serverTable, std::vector<std::string> { "" }, least,
         follower([this](auto rows, bool whole) { this->onServers(rows, whole); }));
     this->jobFollower = std::make_unique<TableFollower>(this->context, this->platform.store,
-        RowName { tables::jobs, Leadership::part, "" }, least,
+        tables::jobs, tables::allJobParts(), least,
         follower([this](auto rows, bool whole) { this->onJobs(rows, whole); }));
     this->serverFollower->start();
     this->jobFollower->start();
@@ -274,7 +274,7 @@
     follow.heard = [] { /* the followers of the node watch the store */ };
     follow.log = this->hooks.log;
     this->readers.push_back(std::make_unique<TableFollower>(this->context, this->platform.store,
-        RowName { table, Leadership::part, "" }, this->leadership.condition().version, std::move(follow)));
+        table, std::vector<std::string> { Leadership::part }, this->leadership.condition().version, std::move(follow)));
     this->readers.back()->start();
 }
 
@@ -331,6 +331,7 @@
     if (this->loaded && this->leadership.isValid()) {
         this->machineUpkeep.tick();
         this->sendReports();
+        this->removeExpired();
     }
     this->storeChanges();
 }
@@ -359,8 +360,6 @@
         batch.jobs = this->jobScheduler.takeUnsaved(batch.servers.empty() ? jobsPerCommit : jobsBesideServers);
         this->addBatch(transaction, batch);
         this->addSummary(transaction);
-        if (batch.jobs.empty() && batch.servers.empty())
-            this->addRemovals(transaction);
         batch.upkeep = std::exchange(this->upkeepWrites, {});
         transaction.writes.insert(transaction.writes.end(), batch.upkeep.begin(), batch.upkeep.end());
     }
@@ -392,12 +391,19 @@
     }
 }
 
-void LeadSession::addRemovals(RowTransaction& transaction)
+// Rows of jobs that ended long ago. Their parts differ from the lead's, so the removal is not conditional on the lead;
+// an earlier lead that removes them late does no harm.
+void LeadSession::removeExpired()
 {
-    for (const auto& job : this->jobScheduler.takeExpired(removalsPerCommit)) {
-        for (const auto* table : { tables::jobs, tables::progress })
-            transaction.removals.push_back({ table, Leadership::part, job });
-        transaction.removals.push_back({ tables::jobs, Leadership::part, job + std::string(tables::cancelSuffix) });
+    for (const auto& job : this->jobScheduler.takeExpired(removalsPerTick)) {
+        RowTransaction rows;
+        rows.removals = { tables::jobRow(job), tables::cancelRow(job) };
+        RowTransaction record;
+        record.removals = { { tables::progress, Leadership::part, job } };
+        for (auto& transaction : { rows, record })
+            this->platform.store.commit(transaction, commitDeadline, [](const TransactionResult&) {
+                // A row that stays is removed by the next lead, which finds the job ended.
+            });
     }
 }
 
--- a/src/io/process/lead-session.h
+++ b/src/io/process/lead-session.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "io/process/table-follower.h"
+#include "io/process/tables.h"
 #include "job/leadership.h"
 #include "job/scheduler.h"
 #include "job/upkeep.h"
@@ -21,20 +22,6 @@
 
 namespace waxwinglug::io {
 
-// Tables of the scheduler. Callers' jobs and cancellations are written by every entry VM, progress by the lead.
-namespace tables {
-    inline constexpr const char* jobs = "job";
-    inline constexpr const char* progress = "progress";
-    // Servers that a lead uses or has used.
-    inline constexpr const char* servers = "server-use";
-    // Machines whose maintenance is done, by wave.
-    inline constexpr const char* upkeep = "upkeep";
-    inline constexpr const char* summary = "summary";
-    inline constexpr const char* summaryKey = "waiting";
-    // A cancellation has the key of its job with this suffix, so that both are read in one range.
-    inline constexpr std::string_view cancelSuffix = "/cancel";
-}
-
 struct LeadHooks {
     // The lead is lost or given up; the session is to be destroyed.
     std::function<void()> ended;
@@ -85,7 +72,7 @@
     void storeChanges();
     void sendReports();
     void addBatch(RowTransaction& transaction, const Batch& batch) const;
-    void addRemovals(RowTransaction& transaction);
+    void removeExpired();
     void addSummary(RowTransaction& transaction);
     void onCommit(const TransactionResult& result, TimePoint sentAt, const Batch& batch);
     void end(std::string_view reason);
--- a/src/io/process/table-follower.cpp
+++ b/src/io/process/table-follower.cpp
@@ -16,10 +16,11 @@
 } // namespace
 
 struct TableFollower::State : std::enable_shared_from_this<State> {
-    State(boost::asio::io_context& context, const RowStore& rowStore, RowName tableAndPart, std::uint64_t least,
-        FollowerHooks followerHooks)
+    State(boost::asio::io_context& context, const RowStore& rowStore, std::string tableName,
+        std::vector<std::string> tableParts, std::uint64_t least, FollowerHooks followerHooks)
         : store(rowStore)
-        , name(std::move(tableAndPart))
+        , table(std::move(tableName))
+        , parts(std::move(tableParts))
         , newest(least)
         , hooks(std::move(followerHooks))
         , timer(context)
@@ -40,15 +41,16 @@
     {
         this->rows.clear();
         this->firstVersion = 0;
+        this->partNumber = 0;
+        this->lastKey.clear();
         this->readPage();
     }
 
     void readPage()
     {
-        RowName from = this->name;
         // The smallest key after the last one that was read.
-        from.key = this->rows.empty() ? std::string() : this->rows.back().name.key + '\0';
-        this->store.list(from, "", listDeadline, [weak = this->weak_from_this()](std::optional<RowPage> page) {
+        const auto key = this->lastKey.empty() ? std::string() : this->lastKey + '\0';
+        this->store.list({ this->table, this->parts[this->partNumber], key }, "", listDeadline, [weak = this->weak_from_this()](std::optional<RowPage> page) {
             if (const auto self = weak.lock())
                 self->onPage(std::move(page));
         });
@@ -63,14 +65,16 @@
         this->noteAnswer();
         if (page->version < this->newest) {
             this->hooks.log("stale answer of the store is read again",
-                { { "table", this->name.table }, { "version", page->version }, { "known", this->newest } });
+                { { "table", this->table }, { "version", page->version }, { "known", this->newest } });
             return this->later(&State::readWhole);
         }
         // Changes during the reading of several pages are followed from the first one.
         if (this->firstVersion == 0)
             this->firstVersion = page->version;
+        const bool more = page->more && !page->rows.empty();
+        this->lastKey = more ? page->rows.back().name.key : std::string();
         std::ranges::move(page->rows, std::back_inserter(this->rows));
-        if (page->more && !page->rows.empty())
+        if (more || ++this->partNumber < this->parts.size())
             return this->readPage();
         this->newest = std::max(this->newest, this->firstVersion);
         const auto whole = std::exchange(this->rows, {});
@@ -82,7 +86,7 @@
     void follow()
     {
         this->store.follow(
-            this->name.table, this->newest, followWait, [weak = this->weak_from_this()](FollowResult result) {
+            this->table, this->newest, followWait, [weak = this->weak_from_this()](FollowResult result) {
                 if (const auto self = weak.lock())
                     self->onChanges(result);
             });
@@ -97,7 +101,7 @@
         this->noteAnswer();
         if (result.status == FollowStatus::HistoryGone) {
             this->hooks.log(
-                "history of the store is gone", { { "table", this->name.table }, { "known", this->newest } });
+                "history of the store is gone", { { "table", this->table }, { "known", this->newest } });
             return this->readWhole();
         }
         this->newest = std::max(this->newest, result.version);
@@ -110,29 +114,32 @@
     {
         if (std::exchange(this->silent, true))
             return;
-        this->hooks.log("the store does not answer", { { "table", this->name.table } });
+        this->hooks.log("the store does not answer", { { "table", this->table } });
     }
 
     void noteAnswer()
     {
         if (std::exchange(this->silent, false))
-            this->hooks.log("the store answers again", { { "table", this->name.table } });
+            this->hooks.log("the store answers again", { { "table", this->table } });
         this->hooks.heard();
     }
 
     const RowStore& store;
-    const RowName name;
+    const std::string table;
+    const std::vector<std::string> parts;
     std::uint64_t newest;
     const FollowerHooks hooks;
     boost::asio::steady_timer timer;
     std::vector<StoredRow> rows; // pages read so far
+    std::size_t partNumber = 0; // that is being read
+    std::string lastKey; // of the part so far; empty: none
     std::uint64_t firstVersion = 0;
     bool silent = false;
 };
 
-TableFollower::TableFollower(boost::asio::io_context& context, const RowStore& store, RowName tableAndPart,
-    std::uint64_t least, FollowerHooks hooks)
-    : state(std::make_shared<State>(context, store, std::move(tableAndPart), least, std::move(hooks)))
+TableFollower::TableFollower(boost::asio::io_context& context, const RowStore& store, std::string table,
+    std::vector<std::string> parts, std::uint64_t least, FollowerHooks hooks)
+    : state(std::make_shared<State>(context, store, std::move(table), std::move(parts), least, std::move(hooks)))
 {
 }
 
--- a/src/io/process/table-follower.h
+++ b/src/io/process/table-follower.h
@@ -1,4 +1,4 @@
-// Keeps a reader up to date with one table of the store: reads it whole, then follows its changes, and reads it again
+// Keeps a reader up to date with one table of the store: reads its parts whole, then follows its changes, and reads it again
 // when the store has dropped the history in between.
 #pragma once
 
@@ -28,8 +28,8 @@
 class TableFollower {
 public:
     // `least` is a version that the table must have reached; older answers of the store are stale and read again.
-    TableFollower(boost::asio::io_context& context, const RowStore& store, RowName tableAndPart, std::uint64_t least,
-        FollowerHooks hooks);
+    TableFollower(boost::asio::io_context& context, const RowStore& store, std::string table,
+        std::vector<std::string> parts, std::uint64_t least, FollowerHooks hooks);
     ~TableFollower();
     TableFollower(const TableFollower&) = delete;
     TableFollower& operator=(const TableFollower&) = delete;
--- /dev/null
+++ b/src/io/process/tables.h
@@ -0,0 +1,49 @@
+// Tables and parts of the scheduler in the platform's store.
+//
+// One part handles its transactions one after another, and refuses them when a second of them is waiting. The rows of
+// the lead therefore have a part of their own, which callers cannot fill, and callers' jobs are spread over several.
+#pragma once
+
+#include "job/leadership.h"
+
+#include <waxwinglug/fleet-platform.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwinglug::io::tables {
+
+// Callers' jobs and cancellations, written by every entry VM.
+inline constexpr const char* jobs = "job";
+// What the lead records of each job.
+inline constexpr const char* progress = "progress";
+// Servers that a lead uses or has used.
+inline constexpr const char* servers = "server-use";
+// Machines whose maintenance is done, by wave.
+inline constexpr const char* upkeep = "upkeep";
+inline constexpr const char* summary = "summary";
+inline constexpr const char* summaryKey = "waiting";
+// A cancellation has the key of its job with this suffix, so that both are read in one range.
+inline constexpr std::string_view cancelSuffix = "/cancel";
+// A slow store takes up to 0.4 s for a transaction; eight parts then still accept 20 jobs a second.
+inline constexpr unsigned jobParts = 8;
+
+inline std::string jobPart(std::string_view job)
+{
+    return std::to_string(job.empty() ? 0U : static_cast<unsigned char>(job.back()) % jobParts);
+}
+
+inline RowName jobRow(std::string_view job) { return { jobs, jobPart(job), std::string(job) }; }
+
+inline RowName cancelRow(std::string_view job) { return { jobs, jobPart(job), std::string(job).append(cancelSuffix) }; }
+
+inline std::vector<std::string> allJobParts()
+{
+    std::vector<std::string> parts;
+    for (unsigned part = 0; part < jobParts; ++part)
+        parts.push_back(std::to_string(part));
+    return parts;
+}
+
+} // namespace waxwinglug::io::tables
--- a/src/job/leadership.cpp
+++ b/src/job/leadership.cpp
@@ -65,7 +65,7 @@
 bool Leadership::shouldTake() const
 {
     const auto now = this->clock.now();
-    if (this->leading || this->taking || !this->seenTable || now - this->heardAt > freshness)
+    if (this->leading || this->taking || now < this->retryAt || !this->seenTable || now - this->heardAt > freshness)
         return false;
     const bool vacant = this->knownFence == 0 || this->released;
     return now - this->beatSeenAt >= (vacant ? Duration(0) : this->times.silence) + this->delay;
@@ -89,6 +89,8 @@
     this->taking = false;
     // After a conflict or a lost answer the changes of the table tell who leads.
     if (result.status != CommitStatus::Committed) {
+        const auto extra = std::uniform_int_distribution<std::int64_t>(0, this->times.retry.count())(this->random);
+        this->retryAt = this->clock.now() + this->times.retry + Duration(extra);
         this->observe(result.conflicts);
         return;
     }
--- a/src/job/leadership.h
+++ b/src/job/leadership.h
@@ -27,6 +27,9 @@
     Duration holdWithoutStore { 4000 };
     // Part of `silence` that a VM with little processor waits longer, so that large VMs take the lead first.
     Duration smallVmDelay { 200 };
+    // Pause after an attempt to take the lead that failed, at most twice this. All VMs try, and a slow store that is
+    // asked too often refuses everyone.
+    Duration retry { 250 };
     // Random part, so that VMs of one size do not all try at once.
     Duration spread { 80 };
 };
@@ -85,6 +88,7 @@
     TimePoint heardAt;
     TimePoint confirmedAt;
     TimePoint beatSentAt;
+    TimePoint retryAt;
 };
 
 } // namespace waxwinglug
--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -143,8 +143,6 @@
         this->endLife(server, "another server has its address");
         return;
     }
-    if (const auto stray = server.strays.find(id); stray != server.strays.end() && status == OrderStatus::Accepted)
-        server.strays.erase(stray);
     const auto run = server.runs.find(id);
     if (run == server.runs.end() || run->second.number != runNumber || status != OrderStatus::Accepted)
         return;
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -3,6 +3,7 @@
 // Lasting tasks come first, because every moment without them is lost. Then jobs that can still reach their objective,
 // the one with the earliest objective first; then those that are late, and last those that no longer earn anything.
 #include "job/scheduler.h"
+#include "job/triage.h"
 
 #include <algorithm>
 #include <limits>
@@ -24,10 +25,11 @@
         InTimeRank,
         LateRank,
         OverdueRank,
-        RetryRank,
         FillingRank,
     };
 
+    // A report older than this says nothing about what runs now; one is due each second.
+    constexpr Duration reportAge { 1500 };
     // Jobs that end after this multiple of their allowed time earn nothing more by ending sooner.
     constexpr int lateFactor = 3;
 
@@ -43,17 +45,15 @@
 
     bool isFilling(const Run& run) { return run.job->spec.steps[static_cast<std::size_t>(run.step)].fills; }
 
-    int rankOf(const Job& job, const Occurrence& occurrence, const StepSpec& step, WallTime now)
+    // Remaining work of an occurrence, in thousandths of a core times milliseconds.
+    std::int64_t remainingWork(const JobSpec& spec, const Occurrence& occurrence)
     {
-        if (step.lasting)
-            return step.fills ? FillingRank : LastingRank;
-        const auto objective = job.objective(occurrence);
-        const auto end = now + occurrence.remainingChain(job.spec);
-        if (end <= objective)
-            return InTimeRank;
-        if (end <= occurrence.due + (objective - occurrence.due) * lateFactor)
-            return LateRank;
-        return OverdueRank;
+        std::int64_t work = 0;
+        for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+            const auto left = static_cast<std::int64_t>(occurrence.steps[step].tasks.size()) - occurrence.steps[step].done;
+            work += left * spec.steps[step].need.cpu * spec.steps[step].estimate.count();
+        }
+        return work;
     }
 
 } // namespace
@@ -86,11 +86,45 @@
     });
 }
 
+// The rank and the order within it of every open occurrence of a service.
+std::map<const Occurrence*, JobScheduler::Standing> JobScheduler::rankOccurrences(const std::string& service) const
+{
+    std::map<const Occurrence*, Standing> standings;
+    std::vector<TriageJob> jobs;
+    std::vector<std::pair<const Job*, const Occurrence*>> open;
+    const auto now = this->clock.wallNow();
+    for (const auto* job : this->activeJobs.at(service)) {
+        for (const auto& [number, occurrence] : job->open) {
+            if (job->isLasting())
+                continue;
+            jobs.push_back({ job->objective(occurrence) - now, occurrence.remainingChain(job->spec),
+                remainingWork(job->spec, occurrence) });
+            open.emplace_back(job, &occurrence);
+        }
+    }
+    std::int64_t processor = 0;
+    for (const auto& [id, server] : this->serverMap) {
+        if (server->record.service == service && this->isUsable(*server))
+            processor += server->record.capacity.cpu;
+    }
+    const auto inTime = chooseInTime(jobs, processor);
+    for (std::size_t index = 0; index < jobs.size(); ++index) {
+        const auto& [job, occurrence] = open[index];
+        const auto allowed = job->objective(*occurrence) - occurrence->due;
+        const auto lateLeft = jobs[index].left + allowed * (lateFactor - 1);
+        if (inTime[index])
+            standings[occurrence] = { InTimeRank, jobs[index].left.count() };
+        else
+            standings[occurrence] = { jobs[index].chain <= lateLeft ? LateRank : OverdueRank, jobs[index].work };
+    }
+    return standings;
+}
+
 std::vector<JobScheduler::ReadyStep> JobScheduler::readySteps(const std::string& service)
 {
     std::vector<ReadyStep> ready;
-    const auto now = this->clock.wallNow();
     const bool unknownRuns = this->inheritsUnknownRuns(service);
+    const auto standings = this->rankOccurrences(service);
     for (auto* job : this->activeJobs.at(service)) {
         if (unknownRuns && this->inheritedJobs.contains(job))
             continue;
@@ -99,9 +133,10 @@
                 const auto& progress = occurrence.steps[step];
                 if (progress.waiting == 0 || !occurrence.isReady(job->spec, step))
                     continue;
-                const auto& spec = job->spec.steps[step];
-                const int rank = rankOf(*job, occurrence, spec, now);
-                ready.push_back({ job, &occurrence, step, rank, job->objective(occurrence).time_since_epoch().count() });
+                Standing standing { job->spec.steps[step].fills ? FillingRank : LastingRank, 0 };
+                if (const auto found = standings.find(&occurrence); found != standings.end())
+                    standing = found->second;
+                ready.push_back({ job, &occurrence, step, standing.rank, standing.order });
             }
         }
     }
@@ -248,7 +283,8 @@
     const auto now = this->clock.now();
     const auto away = std::ranges::count_if(tasks, [&](const Task& task) {
         const bool atWork = task.phase == TaskPhase::Running && task.percent >= 100
-            && now - task.percentChangedAt >= this->rules.notice / 4;
+            && now - task.percentChangedAt >= this->rules.notice / 4 && task.server->reachable()
+            && now - task.server->reportAt < reportAge;
         return &task != run.task && !atWork;
     });
     return away < spec.mayMiss;
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -383,16 +383,6 @@
     return latest;
 }
 
-void JobScheduler::machineStopped(std::string_view machine)
-{
-    for (auto& [id, server] : this->serverMap) {
-        if (server->record.machine == machine && server->listed) {
-            this->endLife(*server, "its machine was taken down");
-            server->listed = false;
-        }
-    }
-}
-
 // Gives up the runs of servers whose leases are over, and forgets servers that are gone.
 void JobScheduler::dropLostServers()
 {
@@ -408,7 +398,7 @@
         const auto& server = *entry.second;
         const bool gone = !server.listed && server.runs.empty() && server.missedHolds > 0 && !server.inherited
             && !server.holding;
-        if (gone && server.enrolled)
+        if (gone)
             this->discharged.push_back(entry.first);
         return gone;
     });
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -39,7 +39,7 @@
     // Number of this lead; later leads have greater numbers. Sent as the fence.
     std::uint64_t fence = 0;
     // How long a hold call keeps the lease; also bounds how long work of an unreachable server waits.
-    Duration lease { std::chrono::seconds(5) };
+    Duration lease { std::chrono::seconds(4) };
     // Validity of a start order. Short, so that an order without an answer is void soon.
     Duration startValidity { std::chrono::milliseconds(2500) };
     // Longest wait of one hold call for an end.
@@ -122,8 +122,6 @@
     const detail::Server* serverOn(std::string_view machine) const;
     // Stops lasting tasks on a machine as far as their steps can spare them.
     void evacuate(std::string_view machine);
-    // The platform has ended everything on the machine.
-    void machineStopped(std::string_view machine);
 
     const detail::ServerMap& servers() const { return this->serverMap; }
     const detail::JobTable& jobs() const { return this->jobTable; }
@@ -136,10 +134,10 @@
         int rank = 0;
         std::int64_t order = 0;
     };
-    // The part of a report that concerns one known run.
-    struct Listed {
-        bool running = false;
-        bool ended = false;
+    // What decides when the tasks of an occurrence start against those of others; smaller comes first.
+    struct Standing {
+        int rank = 0;
+        std::int64_t order = 0;
     };
 
     // scheduler.cpp
@@ -184,6 +182,7 @@
     void dispatchService(const std::string& service);
     void placeStep(const ReadyStep& ready, std::span<detail::Server* const> candidates);
     void placeGang(const ReadyStep& ready, std::span<detail::Server* const> candidates);
+    std::map<const detail::Occurrence*, Standing> rankOccurrences(const std::string& service) const;
     std::vector<ReadyStep> readySteps(const std::string& service);
     detail::Server* chooseServer(const ReadyStep& ready, const detail::Task& task,
         std::span<detail::Server* const> candidates, const std::map<const detail::Server*, Resources>& planned) const;
--- a/src/job/server-table.h
+++ b/src/job/server-table.h
@@ -55,7 +55,8 @@
     std::deque<UnstoredEnd> unstoredEnds;
     Resources used;
     std::map<TaskId, Run> runs;
-    // Runs that nobody needs, by task, with their number; they are being stopped.
+    // Runs that nobody needs, by task, with their number. They are being stopped and take room until they are no longer
+    // listed.
     std::map<TaskId, int> strays;
     // Gets no new tasks, because maintenance wants the machine.
     bool closing = false;
--- a/src/job/upkeep.cpp
+++ b/src/job/upkeep.cpp
@@ -19,6 +19,8 @@
     // Share of a service's servers that may be closing or down at once, in percent, and while the wave is late.
     constexpr int usualShare = 25;
     constexpr int lateShare = 50;
+    // A server that still answers this long after the order was accepted is not being taken down.
+    constexpr Duration untouchedTime { 1000 };
     // Machines that may be closing beyond those that can go down at once, so that the next one is ready in time.
     constexpr int closingAhead = 2;
 
@@ -186,7 +188,9 @@
             && record->second.state == MachineState::Up
             && (machine.oldServer.empty() || record->second.server != machine.oldServer);
         const bool newServer = server && server->record.id != machine.oldServer;
-        if (listedUp || newServer) {
+        // The platform accepts an order that an earlier lead had carried out, and leaves the machine alone.
+        const bool untouched = server && server->reachable() && server->reportAt > machine.since + untouchedTime;
+        if (listedUp || newServer || untouched) {
             this->setStage(name, machine, Stage::Done);
             this->hooks.log("machine is back from maintenance",
                 { { "machine", name }, { "wave", wave.spec.number } });
@@ -225,7 +229,6 @@
     switch (status) {
     case MachineOrderStatus::Accepted:
         this->setStage(name, machine, Stage::Down);
-        this->scheduler.machineStopped(name);
         return;
     case MachineOrderStatus::FenceTooLow:
         this->hooks.log("a later lead orders maintenance", { { "machine", name } });
