--- a/include/waxwinglug/fleet-platform.h
+++ b/include/waxwinglug/fleet-platform.h
@@ -108,6 +108,7 @@
     std::string pool;
     MachineState state = MachineState::Down;
     std::string server; // id of the server that lives on it; empty: none
+    Resources capacity;
 };
 
 enum class MachineOrderStatus {
--- a/src/io/process/lead-session.cpp
+++ b/src/io/process/lead-session.cpp
@@ -45,6 +45,8 @@
     , hooks(std::move(leadHooks))
     , jobScheduler(rules, source, this->schedulerHooks())
     , machineUpkeep(this->jobScheduler, upkeepRules, source, this->upkeepHooks())
+    , poolMover(this->jobScheduler, PoolRules {}, upkeepRules.quietStart, source, this->moverHooks())
+    , fleetConfig(config)
     , ticker(io)
     , reactor(io)
 {
@@ -95,15 +97,7 @@
                 this->poke();
             }));
     };
-    upkeep.listMachines = [this] {
-        this->platform.machines.list(
-            this->guarded([this](const std::optional<std::vector<MachineRecord>>& machines) {
-                if (machines)
-                    this->machineUpkeep.machinesListed(*machines);
-                else
-                    this->hooks.log("the machine list does not answer", {});
-            }));
-    };
+    upkeep.listMachines = [this] { this->listMachines(); };
     upkeep.report = [this](const MachineWave& wave, bool completed, const std::set<std::string>& done) {
         this->upkeepWrites.push_back(
             { { tables::upkeep, Leadership::part, std::to_string(wave.number) }, Json(done).dump() });
@@ -114,6 +108,34 @@
     return upkeep;
 }
 
+PoolMoverHooks LeadSession::moverHooks()
+{
+    PoolMoverHooks mover;
+    mover.order = [this](const std::string& machine, const std::string& pool) {
+        this->platform.machines.move(machine, pool, this->leadership.fence(),
+            this->guarded([this, machine, pool](MachineOrderStatus status) {
+                this->poolMover.orderAnswered(machine, pool, status);
+            }));
+    };
+    mover.listMachines = [this] { this->listMachines(); };
+    mover.inMaintenance = [this](const std::string& machine) { return this->machineUpkeep.wants(machine); };
+    mover.log = this->hooks.log;
+    return mover;
+}
+
+void LeadSession::listMachines()
+{
+    if (std::exchange(this->listing, true))
+        return;
+    this->platform.machines.list(this->guarded([this](const std::optional<std::vector<MachineRecord>>& machines) {
+        this->listing = false;
+        if (!machines)
+            return this->hooks.log("the machine list does not answer", {});
+        this->machineUpkeep.machinesListed(*machines);
+        this->poolMover.machinesListed(*machines);
+    }));
+}
+
 // The operator's rows lie in another part than the lead's, so they cannot share a transaction with them. A completed
 // wave stays completed, so a late write of an earlier lead does no harm once this one has completed it as well.
 void LeadSession::sendReports()
@@ -166,6 +188,7 @@
 
 void LeadSession::setConfig(std::shared_ptr<const FleetConfig> config)
 {
+    this->fleetConfig = config;
     this->jobScheduler.setConfig(std::move(config));
     this->poke();
 }
@@ -330,6 +353,7 @@
         this->jobScheduler.tick();
     if (this->loaded && this->leadership.isValid()) {
         this->machineUpkeep.tick();
+        this->poolMover.tick(*this->fleetConfig);
         this->sendReports();
         this->removeExpired();
     }
--- a/src/io/process/lead-session.h
+++ b/src/io/process/lead-session.h
@@ -5,6 +5,7 @@
 #include "io/process/table-follower.h"
 #include "io/process/tables.h"
 #include "job/leadership.h"
+#include "job/pool-mover.h"
 #include "job/scheduler.h"
 #include "job/upkeep.h"
 
@@ -60,6 +61,8 @@
 
     JobSchedulerHooks schedulerHooks();
     UpkeepHooks upkeepHooks();
+    PoolMoverHooks moverHooks();
+    void listMachines();
     void onJobs(std::span<const StoredRow> rows, bool whole);
     void onServers(std::span<const StoredRow> rows, bool whole);
     void onProgress(std::span<const StoredRow> rows);
@@ -85,6 +88,9 @@
     const LeadHooks hooks;
     JobScheduler jobScheduler;
     Upkeep machineUpkeep;
+    PoolMover poolMover;
+    std::shared_ptr<const FleetConfig> fleetConfig;
+    bool listing = false; // a reading of the machine list is under way
     std::unique_ptr<TableFollower> jobFollower;
     std::unique_ptr<TableFollower> serverFollower;
     boost::asio::steady_timer ticker;
--- /dev/null
+++ b/src/job/demand.cpp
@@ -0,0 +1,74 @@
+// How much processor a service needs: the work that is open, and the work that arrives.
+#include "job/scheduler.h"
+
+#include <algorithm>
+
+namespace waxwinglug {
+
+using detail::Job;
+using detail::Occurrence;
+
+namespace {
+
+    // Window over which arriving work is measured. A peak of some seconds shows in it before a move is too late.
+    constexpr Duration arrivalWindow { 700 };
+    // Work whose time is nearly over is counted as if this much were left; more servers would not help it.
+    constexpr Duration leastTime { 700 };
+
+} // namespace
+
+std::int64_t detail::remainingWork(const JobSpec& spec, const Occurrence& occurrence)
+{
+    std::int64_t work = 0;
+    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        const auto left = static_cast<std::int64_t>(occurrence.steps[step].tasks.size()) - occurrence.steps[step].done;
+        work += left * spec.steps[step].need.cpu * spec.steps[step].estimate.count();
+    }
+    return work;
+}
+
+void JobScheduler::noteArrival(const Job& job)
+{
+    if (job.isLasting() || job.open.empty())
+        return;
+    this->arrivals[job.service].push_back(
+        { this->clock.now(), detail::remainingWork(job.spec, job.open.begin()->second) });
+}
+
+void JobScheduler::forgetArrivals()
+{
+    const auto now = this->clock.now();
+    for (auto& [service, list] : this->arrivals) {
+        while (!list.empty() && now - list.front().at > arrivalWindow)
+            list.pop_front();
+    }
+}
+
+std::int64_t JobScheduler::neededProcessor(std::string_view service) const
+{
+    std::int64_t open = 0;
+    std::int64_t lasting = 0;
+    const auto now = this->clock.wallNow();
+    const auto jobs = this->activeJobs.find(std::string(service));
+    if (jobs == this->activeJobs.end())
+        return 0;
+    for (const auto* job : jobs->second) {
+        for (const auto& [number, occurrence] : job->open) {
+            if (!job->isLasting()) {
+                const auto left = std::max(job->objective(occurrence) - now, leastTime);
+                open += detail::remainingWork(job->spec, occurrence) / left.count();
+                continue;
+            }
+            for (const auto& step : job->spec.steps)
+                lasting += roomNeeded(step).cpu * step.count;
+        }
+    }
+    std::int64_t arriving = 0;
+    if (const auto list = this->arrivals.find(service); list != this->arrivals.end()) {
+        for (const auto& arrival : list->second)
+            arriving += arrival.work;
+    }
+    return std::max(open, arriving / arrivalWindow.count()) + lasting;
+}
+
+} // namespace waxwinglug
--- a/src/job/job-table.h
+++ b/src/job/job-table.h
@@ -120,6 +120,9 @@
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs;
 };
 
+// Remaining declared work of an occurrence, in thousandths of a core times milliseconds.
+std::int64_t remainingWork(const JobSpec& spec, const Occurrence& occurrence);
+
 // Changes the phase and keeps the counts of the step.
 void setPhase(StepProgress& step, Task& task, TaskPhase phase);
 
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -45,17 +45,6 @@
 
     bool isFilling(const Run& run) { return run.job->spec.steps[static_cast<std::size_t>(run.step)].fills; }
 
-    // Remaining work of an occurrence, in thousandths of a core times milliseconds.
-    std::int64_t remainingWork(const JobSpec& spec, const Occurrence& occurrence)
-    {
-        std::int64_t work = 0;
-        for (std::size_t step = 0; step < spec.steps.size(); ++step) {
-            const auto left = static_cast<std::int64_t>(occurrence.steps[step].tasks.size()) - occurrence.steps[step].done;
-            work += left * spec.steps[step].need.cpu * spec.steps[step].estimate.count();
-        }
-        return work;
-    }
-
 } // namespace
 
 void JobScheduler::dispatch(bool all)
@@ -98,7 +87,7 @@
             if (job->isLasting())
                 continue;
             jobs.push_back({ job->objective(occurrence) - now, occurrence.remainingChain(job->spec),
-                remainingWork(job->spec, occurrence) });
+                detail::remainingWork(job->spec, occurrence) });
             open.emplace_back(job, &occurrence);
         }
     }
--- /dev/null
+++ b/src/job/pool-mover.h
@@ -0,0 +1,63 @@
+// Carries out moves of machines between pools: watches the demand of each service, orders the moves, and follows them.
+// Belongs to the lead and does no I/O.
+#pragma once
+
+#include "job/pool-balance.h"
+#include "job/scheduler.h"
+
+#include <waxwinglug/fleet-platform.h>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+
+namespace waxwinglug {
+
+struct PoolMoverHooks {
+    std::function<void(const std::string& machine, const std::string& pool)> order;
+    std::function<void()> listMachines;
+    // Maintenance wants the machine.
+    std::function<bool(const std::string& machine)> inMaintenance;
+    LogHook log;
+};
+
+class PoolMover {
+public:
+    // A new lead orders nothing before `quietStart` has passed, like maintenance.
+    PoolMover(JobScheduler& scheduler, PoolRules rules, Duration quietStart, Clock clock, PoolMoverHooks hooks);
+
+    void machinesListed(std::span<const MachineRecord> machines);
+    void orderAnswered(const std::string& machine, const std::string& pool, MachineOrderStatus status);
+    void tick(const FleetConfig& config);
+
+private:
+    struct Move {
+        std::string to;
+        std::string oldServer;
+        bool accepted = false;
+        TimePoint since;
+        TimePoint repeatAt;
+    };
+
+    void followMoves();
+    void startMoves(const FleetConfig& config);
+    void order(const std::string& machine, Move& move);
+
+    JobScheduler& scheduler;
+    const Duration quietStart;
+    const Clock clock;
+    const PoolMoverHooks hooks;
+    const TimePoint begunAt;
+    PoolBalance balance;
+    std::map<std::string, MachineRecord> listed;
+    TimePoint listedAt;
+    TimePoint askedAt;
+    std::map<std::string, Move> moves;
+    // Machines that the platform does not let into a pool.
+    std::set<std::pair<std::string, std::string>> refused;
+    bool fenced = false;
+};
+
+} // namespace waxwinglug
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -94,6 +94,8 @@
         this->inheritedJobs.insert(&job);
     detail::JobTable::openDue(job, this->clock.wallNow());
     this->touched.insert(job.service);
+    if (!inherited)
+        this->noteArrival(job);
     if (!inherited)
         this->hooks.log("job received", { { "job", id }, { "queue", job.spec.queue }, { "team", job.spec.team } });
 }
@@ -407,6 +409,7 @@
 void JobScheduler::tick()
 {
     this->openDueJobs();
+    this->forgetArrivals();
     this->dropLostServers();
     this->repeatStops();
     this->sendDueHolds();
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -113,6 +113,10 @@
     std::map<std::string, int> waitingByQueue() const;
     std::optional<JobPhase> stateOf(std::string_view job);
 
+    // Processor in thousandths of a core that a service needs for its work to be in time: what is open, what arrives,
+    // and its lasting tasks.
+    std::int64_t neededProcessor(std::string_view service) const;
+
     // Maintenance. A closing machine gets no new tasks.
     void setClosing(std::string_view machine, bool closing);
     // Maintenance will want the machine.
@@ -177,6 +181,10 @@
     void checkStall(detail::Server& server, const TaskId& id, detail::Run& run, const RunningTask& running);
     void adjustPaces(detail::Server& server);
 
+    // demand.cpp
+    void noteArrival(const detail::Job& job);
+    void forgetArrivals();
+
     // placement.cpp
     void dispatch(bool all);
     void dispatchService(const std::string& service);
@@ -210,6 +218,12 @@
     // Ticket of the oldest change in the batch that is being stored; 0: none is.
     std::uint64_t inFlightTicket = 0;
     std::vector<detail::Job*> ended;
+    // Work of jobs that arrived lately, by service.
+    struct Arrival {
+        TimePoint at;
+        std::int64_t work = 0; // thousandths of a core times milliseconds
+    };
+    std::map<std::string, std::deque<Arrival>, std::less<>> arrivals;
     std::set<std::string> dueMachines;
     std::set<std::string> closingMachines;
     // Servers that are gone for good; they are removed from the store.
--- a/src/job/upkeep.cpp
+++ b/src/job/upkeep.cpp
@@ -53,9 +53,12 @@
     this->report(wave);
 }
 
-bool Upkeep::isIdle() const
+bool Upkeep::wants(const std::string& name) const
 {
-    return std::ranges::all_of(this->waves, [](const auto& wave) { return wave.second.completed; });
+    return std::ranges::any_of(this->waves, [&name](const auto& entry) {
+        const auto machine = entry.second.machines.find(name);
+        return machine != entry.second.machines.end() && machine->second.stage != Stage::Done;
+    });
 }
 
 int Upkeep::countOf(const Wave& wave, std::initializer_list<Stage> stages)
--- a/src/job/upkeep.h
+++ b/src/job/upkeep.h
@@ -41,7 +41,8 @@
     void orderAnswered(const std::string& machine, int wave, MachineOrderStatus status);
     void tick();
 
-    bool isIdle() const;
+    // A wave wants the machine, or has it.
+    bool wants(const std::string& machine) const;
 
 private:
     enum class Stage {
