--- a/src/job/pool-balance.cpp
+++ b/src/job/pool-balance.cpp
@@ -10,21 +10,69 @@
 {
 }
 
+struct PoolBalance::State {
+    const PoolDemand* demand = nullptr;
+    int size = 0;
+    int firstSize = 0;
+    std::int64_t processor = 0;
+    // Processor beyond the needed one; negative: machines are missing.
+    std::int64_t surplus(const PoolRules& rules) const
+    {
+        return this->processor - this->demand->needed * (100 + rules.headroom) / 100;
+    }
+    std::vector<const PoolMachine*> movable;
+};
+
+// Takes a machine that the pool can do without while it keeps `least` machines; nullptr when there is none.
+const PoolMachine* PoolBalance::take(State& from, int least) const
+{
+    if (from.movable.empty() || from.size <= std::max(least, this->rules.leastMachines))
+        return nullptr;
+    const auto* machine = from.movable.back();
+    if (from.surplus(this->rules) < machine->processor)
+        return nullptr;
+    from.movable.pop_back();
+    --from.size;
+    from.processor -= machine->processor;
+    return machine;
+}
+
+// A machine for a pool that lacks one: first from pools that have grown, then from the standby pool, then from calm
+// pools, which get it back from this one when their own peak comes.
+const PoolMachine* PoolBalance::findMachine(std::span<State*> pools, State& standby, const State& lacking) const
+{
+    for (auto* pool : pools) {
+        const auto* machine = pool == &lacking ? nullptr : this->take(*pool, pool->firstSize);
+        if (machine)
+            return machine;
+    }
+    if (!standby.movable.empty()) {
+        const auto* machine = standby.movable.back();
+        standby.movable.pop_back();
+        return machine;
+    }
+    // The pool with the most room lends first.
+    State* lender = nullptr;
+    for (auto* pool : pools) {
+        if (pool != &lacking && !pool->movable.empty() && (!lender || pool->surplus(this->rules) > lender->surplus(this->rules)))
+            lender = pool;
+    }
+    return lender ? this->take(*lender, lender->firstSize * this->rules.lendShare / 100) : nullptr;
+}
+
 std::vector<PoolMove> PoolBalance::decide(
     std::span<const PoolDemand> demands, std::span<const PoolMachine> machines, TimePoint now)
 {
-    struct State {
-        const PoolDemand* demand = nullptr;
-        int size = 0;
-        std::int64_t processor = 0;
-        std::vector<const PoolMachine*> movable;
-    };
     std::map<std::string, State> states;
-    std::string standby;
+    State* standby = nullptr;
+    std::vector<State*> order;
     for (const auto& demand : demands) {
-        states[demand.service].demand = &demand;
+        auto& state = states[demand.service];
+        state.demand = &demand;
         if (demand.standby)
-            standby = demand.service;
+            standby = &state;
+        else
+            order.push_back(&state);
     }
     for (const auto& machine : machines) {
         const auto state = states.find(machine.service);
@@ -36,49 +84,44 @@
             state->second.movable.push_back(&machine);
     }
     std::vector<PoolMove> moves;
-    if (standby.empty())
+    if (!standby)
         return moves;
-    auto& reserve = states.at(standby).movable;
-    // Pools with the greatest lack come first.
-    std::vector<State*> order;
-    for (auto& [service, state] : states) {
-        if (!state.demand->standby)
-            order.push_back(&state);
+    for (auto* state : order) {
+        auto& pool = this->pools[state->demand->service];
+        if (pool.firstSize == 0)
+            pool.firstSize = state->size;
+        state->firstSize = pool.firstSize;
     }
-    const auto lack = [this](const State& state) {
-        return state.demand->needed * (100 + this->rules.headroom) / 100 - state.processor;
-    };
-    std::ranges::sort(order, std::greater {}, [&lack](const State* state) { return lack(*state); });
+    // Pools with the greatest lack come first.
+    std::ranges::sort(order, {}, [this](const State* state) { return state->surplus(this->rules); });
     for (auto* state : order) {
-        while (lack(*state) > 0 && !reserve.empty()) {
-            const auto* machine = reserve.back();
-            reserve.pop_back();
+        while (state->surplus(this->rules) < 0) {
+            const auto* machine = this->findMachine(order, *standby, *state);
+            if (!machine)
+                break;
             state->processor += machine->processor;
             ++state->size;
             moves.push_back({ machine->name, state->demand->service });
         }
     }
-    for (auto* state : order) {
-        auto& pool = this->pools[state->demand->service];
-        if (pool.firstSize == 0)
-            pool.firstSize = state->size;
-        const int keep = std::max(this->rules.leastMachines, pool.firstSize * this->rules.keepShare / 100);
-        const auto largest = state->movable.empty() ? 0 : state->movable.back()->processor;
-        const bool large = state->size > keep && largest > 0 && lack(*state) + largest <= 0;
-        if (large && !pool.large)
-            pool.largeSince = now;
-        pool.large = large;
-        if (!large || now - pool.largeSince < this->rules.patience)
-            continue;
-        int spare = state->size - keep;
-        while (spare-- > 0 && !state->movable.empty() && lack(*state) + state->movable.back()->processor <= 0) {
-            const auto* machine = state->movable.back();
-            state->movable.pop_back();
-            state->processor -= machine->processor;
-            moves.push_back({ machine->name, standby });
-        }
-    }
+    for (auto* state : order)
+        this->shrink(*state, standby->demand->service, now, moves);
     return moves;
 }
 
+// Sends machines beyond the first size to the standby pool when the pool has not needed them for a while.
+void PoolBalance::shrink(State& state, const std::string& standby, TimePoint now, std::vector<PoolMove>& moves)
+{
+    auto& pool = this->pools[state.demand->service];
+    const bool large = state.size > state.firstSize && !state.movable.empty()
+        && state.surplus(this->rules) >= state.movable.back()->processor;
+    if (large && !pool.large)
+        pool.largeSince = now;
+    pool.large = large;
+    if (!large || now - pool.largeSince < this->rules.patience)
+        return;
+    while (const auto* machine = this->take(state, state.firstSize))
+        moves.push_back({ machine->name, standby });
+}
+
 } // namespace waxwinglug
--- a/src/job/pool-balance.h
+++ b/src/job/pool-balance.h
@@ -42,8 +42,8 @@
     int headroom = 15;
     // How long a pool must have been too large before a machine leaves it.
     Duration patience { 2500 };
-    // Machines that a pool keeps, in percent of those it had when it was first seen.
-    int keepShare = 100;
+    // Machines that a calm pool keeps while another one lacks some, in percent of those it had when it was first seen.
+    int lendShare = 60;
     // A pool never has fewer machines, so that one loss does not stop its service.
     int leastMachines = 2;
 };
@@ -56,6 +56,7 @@
         std::span<const PoolDemand> demands, std::span<const PoolMachine> machines, TimePoint now);
 
 private:
+    struct State;
     struct Pool {
         int firstSize = 0;
         // Since when the pool has had a machine too many.
@@ -63,6 +64,10 @@
         bool large = false;
     };
 
+    const PoolMachine* take(State& from, int least) const;
+    const PoolMachine* findMachine(std::span<State*> pools, State& standby, const State& lacking) const;
+    void shrink(State& state, const std::string& standby, TimePoint now, std::vector<PoolMove>& moves);
+
     const PoolRules rules;
     std::map<std::string, Pool> pools;
 };
