--- a/src/job/job-table.h
+++ b/src/job/job-table.h
@@ -39,6 +39,8 @@
     TimePoint startedAt;
     // When the backend server confirmed the start; reports that were asked for earlier may not show the run.
     TimePoint confirmedAt;
+    // The server has said that the start was carried out.
+    bool startConfirmed = false;
     TimePoint stopSentAt;
     // The latest stop was confirmed.
     bool stopConfirmed = false;
--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -52,6 +52,7 @@
     task.percent = 0;
     task.percentChangedAt = now;
     task.pace = 100;
+    task.startConfirmed = false;
     task.stopConfirmed = false;
     const auto room = roomNeeded(job.spec.steps[step]);
     server.used += room;
@@ -86,6 +87,7 @@
     auto& step = job.open.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
     if (status == OrderStatus::Accepted) {
         setPhase(step, task, TaskPhase::Running);
+        task.startConfirmed = true;
         task.confirmedAt = now;
         if (job.state == JobPhase::Pending) {
             job.state = JobPhase::Running;
@@ -177,7 +179,9 @@
 {
     HoldOrder order;
     order.fence = this->rules.fence;
-    order.storedEnds = server.storedEnds;
+    // The ends of a new life are numbered anew. A server that does not answer may have started again, and would take an
+    // acknowledgement of its earlier life for one of its own ends.
+    order.storedEnds = server.missedHolds > 0 ? 0 : server.storedEnds;
     if (server.answered) {
         const auto until = server.clockAt(this->clock.now()) + this->rules.lease.count();
         order.leaseUntil = until;
@@ -215,8 +219,13 @@
             this->endLife(server, "another server has its address");
         return;
     }
-    if (report.startedAt && server.record.startedAt != WallTime {} && *report.startedAt != server.record.startedAt) {
-        this->endLife(server, "the server has started again");
+    if (report.startedAt && *report.startedAt < server.record.startedAt) {
+        // An answer of an earlier life that was under way.
+        server.nextHoldAt = now;
+        return;
+    }
+    if (report.startedAt && *report.startedAt > server.record.startedAt) {
+        this->beginNewLife(server);
         server.record.startedAt = *report.startedAt;
     }
     if (server.missedHolds > 0 && server.answered)
--- a/src/job/reports.cpp
+++ b/src/job/reports.cpp
@@ -175,6 +175,7 @@
     run.latency = running.load;
     if (task.phase == TaskPhase::Starting || task.phase == TaskPhase::Doubtful) {
         setPhase(run.job->open.at(run.occurrence).steps[static_cast<std::size_t>(run.step)], task, TaskPhase::Running);
+        task.startConfirmed = true;
         task.confirmedAt = this->clock.now();
         if (run.job->state == JobPhase::Pending) {
             run.job->state = JobPhase::Running;
@@ -205,6 +206,7 @@
     task->run = running.run;
     task->server = &server;
     task->startedAt = now;
+    task->startConfirmed = true;
     task->confirmedAt = now;
     task->percent = running.percent;
     task->percentChangedAt = now;
@@ -319,10 +321,39 @@
         this->endRun(server, server.runs.begin(), RunEnd::LeaseExpired, false);
 }
 
-// The life of the server that we knew is over, and with it all that ran there.
+// Another server or nobody lives where this one did: nothing that was sent to it can still be carried out.
 void JobScheduler::endLife(Server& server, std::string_view reason)
 {
     this->loseRuns(server, reason);
+    this->forgetLife(server);
+}
+
+// The server has started again under its id, and knows nothing of its earlier life. A start that was not answered may
+// still reach the new life, so it stays in doubt.
+void JobScheduler::beginNewLife(Server& server)
+{
+    for (auto run = server.runs.begin(); run != server.runs.end();) {
+        const auto current = run++;
+        auto& task = *current->second.task;
+        if (task.startConfirmed) {
+            this->endRun(server, current, RunEnd::LeaseExpired, false);
+            continue;
+        }
+        auto& occurrence = current->second.job->open.at(current->second.occurrence);
+        if (task.phase == TaskPhase::Starting)
+            setPhase(occurrence.steps[static_cast<std::size_t>(current->second.step)], task, TaskPhase::Doubtful);
+        task.stopConfirmed = false;
+        task.confirmedAt = this->clock.now();
+    }
+    this->hooks.log("backend server has started again",
+        { { "server", server.record.id }, { "doubtful_runs", server.runs.size() } });
+    this->forgetLife(server);
+    // The new life has seen no fence, so orders of an earlier lead that are under way may be carried out there.
+    server.inherited = true;
+}
+
+void JobScheduler::forgetLife(Server& server)
+{
     server.answered = false;
     server.inherited = false;
     server.enrolled = false;
@@ -334,6 +365,7 @@
     server.leaseUntil = 0;
     server.troubles = 0;
     server.probing = false;
+    server.lifeBegunAt = this->clock.now();
 }
 
 } // namespace waxwinglug
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -129,8 +129,10 @@
         this->hooks.log("backend server listed",
             { { "server", record.id }, { "service", record.service }, { "machine", record.machine },
                 { "rack", record.rack } });
-    } else if (place->record.startedAt != record.startedAt) {
-        this->endLife(*place, "the server has started again");
+    } else if (record.startedAt < place->record.startedAt) {
+        return; // a row of an earlier life
+    } else if (record.startedAt > place->record.startedAt) {
+        this->beginNewLife(*place);
     }
     if (record.draining && !place->record.draining)
         this->hooks.log("backend server drains", { { "server", record.id } });
@@ -150,14 +152,12 @@
 void JobScheduler::addEnrolled(const ServerRecord& record)
 {
     auto& place = this->serverMap[record.id];
-    if (place && place->record.startedAt != record.startedAt)
-        return; // it has started again since
     if (!place) {
         place = std::make_unique<Server>();
         place->record = record;
         place->listed = false;
     }
-    place->enrolled = true;
+    place->enrolled = place->record.startedAt == record.startedAt;
     place->inherited = true;
 }
 
@@ -385,6 +385,9 @@
     return latest;
 }
 
+// An order without an answer is carried out at most 12 s later, and leases end at most 10 s after that.
+constexpr Duration longestDoubt { 22'000 };
+
 // Gives up the runs of servers whose leases are over, and forgets servers that are gone.
 void JobScheduler::dropLostServers()
 {
@@ -393,8 +396,12 @@
     for (auto& [id, server] : this->serverMap) {
         if (server->inherited && inheritedLeasesOver)
             server->inherited = false;
-        if (!server->runs.empty() && server->missedHolds > 0 && server->leaseSurelyOver(now))
+        if (server->runs.empty() || server->missedHolds == 0)
+            continue;
+        if (server->leaseSurelyOver(now))
             this->loseRuns(*server, "its lease is over");
+        else if (!server->answered && now - server->lifeBegunAt > longestDoubt)
+            this->loseRuns(*server, "its new life has not answered");
     }
     std::erase_if(this->serverMap, [this](const auto& entry) {
         const auto& server = *entry.second;
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -175,7 +175,9 @@
     void taskDone(detail::Job& job, const TaskId& id, detail::Task& task);
     void taskFailed(detail::Job& job, const TaskId& id, detail::Task& task, int run);
     void completeOccurrence(detail::Job& job, int occurrence);
+    void beginNewLife(detail::Server& server);
     void endLife(detail::Server& server, std::string_view reason);
+    void forgetLife(detail::Server& server);
     void loseRuns(detail::Server& server, std::string_view reason);
     void noteTrouble(detail::Server& server, const detail::Job& job, std::string_view reason);
     void checkStall(detail::Server& server, const TaskId& id, detail::Run& run, const RunningTask& running);
--- a/src/job/server-table.h
+++ b/src/job/server-table.h
@@ -46,6 +46,7 @@
     bool holding = false; // a hold call is under way
     int missedHolds = 0; // since the last answer
     TimePoint nextHoldAt;
+    TimePoint lifeBegunAt; // when this lead saw that the life began, if it saw it
     TimePoint reportAt; // when the last report arrived
     ServerClock reportClock = 0;
     // No lease ends later than this, on the server's clock.
