--- a/test/job/scheduling-leads.cpp
+++ b/test/job/scheduling-leads.cpp
@@ -46,8 +46,7 @@
     scheduler.setConfig(this->config);
     const auto now = this->manual.now();
     for (const auto& [id, server] : this->servers) {
-        // The entry of a server that is cut off may have expired.
-        if (server.cutUntil > now && this->pick(0, 1) == 1)
+        if (!server.isListed(now))
             continue;
         scheduler.addServer(server.record);
         lead.knownServers[id] = server.record.startedAt;
@@ -141,11 +140,14 @@
                 scheduler.cancelJob(id);
         }
         for (const auto& [id, server] : this->servers) {
-            auto& known = lead->knownServers[id];
-            if (known == server.record.startedAt)
-                continue;
-            known = server.record.startedAt;
-            scheduler.addServer(server.record);
+            auto known = lead->knownServers.find(id);
+            if (!server.isListed(now)) {
+                scheduler.removeServer(id);
+                lead->knownServers.erase(id);
+            } else if (known == lead->knownServers.end() || known->second != server.record.startedAt) {
+                lead->knownServers[id] = server.record.startedAt;
+                scheduler.addServer(server.record);
+            }
         }
     }
     if (now - lead->confirmedAt < holdWithoutStore) {
--- a/test/job/scheduling-world.cpp
+++ b/test/job/scheduling-world.cpp
@@ -22,6 +22,12 @@
     return sum;
 }
 
+// Rows expire after three heartbeats of 1.5 s.
+bool FakeServer::isListed(TimePoint now) const
+{
+    return !this->cutFromStore || this->cutUntil <= now || now - this->cutFrom < Duration(4500);
+}
+
 SchedulingWorld::SchedulingWorld(std::uint32_t seed, WorldFaults worldFaults)
     : random(seed)
     , faults(worldFaults)
@@ -162,8 +168,11 @@
             lead->cutFromStoreUntil = soon(500, 8000);
     }
     for (auto& [id, server] : this->servers) {
-        if (happens(this->faults.serverCuts))
-            server.cutUntil = soon(500, 9000);
+        if (server.cutUntil <= now && happens(this->faults.serverCuts)) {
+            server.cutFrom = now;
+            server.cutUntil = soon(500, 12'000);
+            server.cutFromStore = this->pick(0, 1) == 1;
+        }
         if (!happens(this->faults.serverCrashes))
             continue;
         server.running.clear();
--- a/test/job/scheduling-world.h
+++ b/test/job/scheduling-world.h
@@ -58,8 +58,12 @@
     std::uint64_t numbered = 0;
     std::uint64_t stored = 0; // ends that were acknowledged
     std::uint64_t lapsedBefore = 0; // ends up to this number were listed before a lease expired
+    TimePoint cutFrom;
     TimePoint cutUntil;
+    // The server does not reach the store either, so its row expires.
+    bool cutFromStore = false;
 
+    bool isListed(TimePoint now) const;
     ServerClock clockAt(TimePoint now) const { return (now - this->bornAt).count() * this->clockRate / 1000; }
     Resources used() const;
 };
