End the leases of silent servers, empty leaving ones, and keep the first sizes of pools

Cause: every repeated hold call extended the lease that had to be waited for, so its work never started elsewhere. Ruled out: the row of the server was removed, and the lead had not changed. Leaving servers are also emptied of lasting tasks now.

--- a/src/io/process/lead-session.cpp
+++ b/src/io/process/lead-session.cpp
@@ -21,6 +21,8 @@
     constexpr std::size_t removalsPerTick = 1; // jobs; ended ones are as many as accepted ones, a few dozen a second
     // Callers may see counts that are 2 s old.
     constexpr Duration summaryInterval { 700 };
+    // The row of the upkeep table with the first sizes of the pools; the others are named by numbers of waves.
+    constexpr const char* poolsKey = "pools";
 
     bool isCancel(std::string_view key) { return key.ends_with(tables::cancelSuffix); }
 
@@ -155,6 +157,15 @@
     }
 }
 
+void LeadSession::storePoolSizes()
+{
+    auto sizes = this->poolMover.firstSizes();
+    if (sizes == this->storedSizes)
+        return;
+    this->upkeepWrites.push_back({ { tables::upkeep, Leadership::part, poolsKey }, Json(sizes).dump() });
+    this->storedSizes = std::move(sizes);
+}
+
 void LeadSession::addWave(const MachineWave& wave)
 {
     this->waves[wave.number] = wave;
@@ -281,7 +292,9 @@
 {
     for (const auto& row : rows) {
         const auto json = Json::parse(row.value, nullptr, false);
-        if (json.is_array())
+        if (row.name.key == poolsKey && json.is_object())
+            this->poolMover.setFirstSizes(json.get<std::map<std::string, int>>());
+        else if (json.is_array())
             this->maintainedMachines[row.name.key] = json.get<std::set<std::string>>();
     }
     this->upkeepLoaded = true;
@@ -354,6 +367,7 @@
     if (this->loaded && this->leadership.isValid()) {
         this->machineUpkeep.tick();
         this->poolMover.tick(*this->fleetConfig);
+        this->storePoolSizes();
         this->sendReports();
         this->removeExpired();
     }
--- a/src/io/process/lead-session.h
+++ b/src/io/process/lead-session.h
@@ -74,6 +74,7 @@
     void react();
     void storeChanges();
     void sendReports();
+    void storePoolSizes();
     void addBatch(RowTransaction& transaction, const Batch& batch) const;
     void removeExpired();
     void addSummary(RowTransaction& transaction);
@@ -100,6 +101,7 @@
     std::map<std::string, std::set<std::string>> maintainedMachines; // by number of the wave
     std::vector<RowValue> upkeepWrites;
     std::map<int, WaveReport> waveReports;
+    std::map<std::string, int> storedSizes;
     std::set<std::string> inheritedCancels;
     bool jobsLoaded = false;
     bool serversLoaded = false;
--- a/src/io/process/tables.h
+++ b/src/io/process/tables.h
@@ -20,7 +20,7 @@
 inline constexpr const char* progress = "progress";
 // Servers that a lead uses or has used.
 inline constexpr const char* servers = "server-use";
-// Machines whose maintenance is done, by wave.
+// Machines whose maintenance is done, by wave, and the first sizes of pools.
 inline constexpr const char* upkeep = "upkeep";
 inline constexpr const char* summary = "summary";
 inline constexpr const char* summaryKey = "waiting";
--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -182,7 +182,8 @@
     // The ends of a new life are numbered anew. A server that does not answer may have started again, and would take an
     // acknowledgement of its earlier life for one of its own ends.
     order.storedEnds = server.missedHolds > 0 ? 0 : server.storedEnds;
-    if (server.answered) {
+    // The lease of a server that does not answer is not extended: its work could then never start elsewhere.
+    if (server.reachable()) {
         const auto until = server.clockAt(this->clock.now()) + this->rules.lease.count();
         order.leaseUntil = until;
         server.leaseUntil = std::max(server.leaseUntil, until);
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -282,13 +282,20 @@
 void JobScheduler::evacuate(std::string_view machine)
 {
     for (auto& [serverId, server] : this->serverMap) {
-        if (server->record.machine != machine || !server->reachable())
-            continue;
-        for (auto& [id, run] : server->runs) {
-            const bool lasting = run.job->spec.steps[static_cast<std::size_t>(run.step)].lasting;
-            if (lasting && run.task->phase == TaskPhase::Running && (server->record.draining || this->canSpare(run)))
-                this->requestStop(*server, id, run, "maintenance wants its machine");
-        }
+        if (server->record.machine == machine)
+            this->evacuate(*server, "maintenance wants its machine");
+    }
+}
+
+void JobScheduler::evacuate(Server& server, std::string_view reason)
+{
+    if (!server.reachable())
+        return;
+    for (auto& [id, run] : server.runs) {
+        const bool lasting = run.job->spec.steps[static_cast<std::size_t>(run.step)].lasting;
+        // A server that leaves ends its tasks anyway, so moving them early costs nothing.
+        if (lasting && run.task->phase == TaskPhase::Running && (server.record.draining || this->canSpare(run)))
+            this->requestStop(server, id, run, reason);
     }
 }
 
--- a/src/job/pool-balance.cpp
+++ b/src/job/pool-balance.cpp
@@ -60,6 +60,20 @@
     return lender ? this->take(*lender, lender->firstSize * this->rules.lendShare / 100) : nullptr;
 }
 
+std::map<std::string, int> PoolBalance::firstSizes() const
+{
+    std::map<std::string, int> sizes;
+    for (const auto& [service, pool] : this->pools)
+        sizes[service] = pool.firstSize;
+    return sizes;
+}
+
+void PoolBalance::setFirstSizes(const std::map<std::string, int>& sizes)
+{
+    for (const auto& [service, size] : sizes)
+        this->pools[service].firstSize = size;
+}
+
 std::vector<PoolMove> PoolBalance::decide(
     std::span<const PoolDemand> demands, std::span<const PoolMachine> machines, TimePoint now)
 {
--- a/src/job/pool-balance.h
+++ b/src/job/pool-balance.h
@@ -52,6 +52,10 @@
 public:
     explicit PoolBalance(PoolRules rules);
 
+    // The sizes that pools had when they were first seen, also by an earlier lead.
+    std::map<std::string, int> firstSizes() const;
+    void setFirstSizes(const std::map<std::string, int>& sizes);
+
     std::vector<PoolMove> decide(
         std::span<const PoolDemand> demands, std::span<const PoolMachine> machines, TimePoint now);
 
--- a/src/job/pool-mover.h
+++ b/src/job/pool-mover.h
@@ -28,6 +28,8 @@
     // A new lead orders nothing before `quietStart` has passed, like maintenance.
     PoolMover(JobScheduler& scheduler, PoolRules rules, Duration quietStart, Clock clock, PoolMoverHooks hooks);
 
+    std::map<std::string, int> firstSizes() const { return this->balance.firstSizes(); }
+    void setFirstSizes(const std::map<std::string, int>& sizes) { this->balance.setFirstSizes(sizes); }
     void machinesListed(std::span<const MachineRecord> machines);
     void orderAnswered(const std::string& machine, const std::string& pool, MachineOrderStatus status);
     void tick(const FleetConfig& config);
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -418,6 +418,10 @@
     this->openDueJobs();
     this->forgetArrivals();
     this->dropLostServers();
+    for (const auto& [id, server] : this->serverMap) {
+        if (server->record.draining && server->listed)
+            this->evacuate(*server, "its server is leaving");
+    }
     this->repeatStops();
     this->sendDueHolds();
     this->dispatch(true);
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -200,6 +200,7 @@
     bool teamHasRoom(const detail::Job& job, const Resources& need) const;
     bool inheritsUnknownRuns(const std::string& service) const;
     bool canSpare(const detail::Run& run) const;
+    void evacuate(detail::Server& server, std::string_view reason);
 
     const JobSchedulerRules rules;
     const Clock clock;
