--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -101,6 +101,7 @@
                 return std::nullopt;
             return this->session->scheduler().waitingByQueue();
         };
+        hooks.storeAnswers = [this] { return this->storeAnswers(); };
         hooks.log = this->logHook();
         return hooks;
     }
@@ -162,10 +163,14 @@
             this->heardAt = this->clock.now();
             this->leadership.heardStore();
         };
+        hooks.silent = [this] { this->silentAt = this->clock.now(); };
         hooks.log = this->logHook();
         return hooks;
     }
 
+    // False from the first call without an answer until the next answer. The followers ask several times a second.
+    bool storeAnswers() const { return this->silentAt <= this->heardAt; }
+
     void followConfig()
     {
         this->configFollower = std::make_unique<TableFollower>(this->context, this->platform.store,
@@ -236,6 +241,7 @@
         rules.notice = this->settings.notice;
         rules.remoteFactor = this->settings.remoteFactor;
         rules.lease = std::min(rules.lease, this->settings.longestLease);
+        rules.longestLease = this->settings.longestLease;
         UpkeepRules upkeepRules;
         // The first lead of all has no predecessor whose orders it could cross.
         upkeepRules.quietStart = rules.fence == 1 ? Duration(0) : this->settings.orderLease;
@@ -318,6 +324,7 @@
     std::shared_ptr<const FleetConfig> config;
     std::map<int, MachineWave> waves;
     TimePoint heardAt;
+    TimePoint silentAt;
     TimePoint caredAt;
     TimePoint stoppedAt;
     bool stopping = false;
--- a/src/io/process/job-gateway.cpp
+++ b/src/io/process/job-gateway.cpp
@@ -130,6 +130,8 @@
 
 void JobGateway::commitJob(const ExchangePtr& exchange)
 {
+    if (!exchange->mayBeStored && !this->hooks.storeAnswers())
+        return this->answer(exchange, 503, "", "the store does not answer; nothing was written");
     RowTransaction transaction;
     transaction.conditions.push_back({ tables::jobRow(exchange->job), 0 });
     transaction.writes.push_back({ tables::jobRow(exchange->job), exchange->stored });
@@ -167,7 +169,7 @@
 void JobGateway::showState(const ExchangePtr& exchange)
 {
     if (this->left(*exchange) < Duration(1))
-        return this->answer(exchange, 504, "", "the store does not answer");
+        return this->answer(exchange, 503, "", "the store does not answer");
     const RowName name { tables::progress, Leadership::part, exchange->job };
     this->platform.store.list(name, after(exchange->job), std::min(attemptDeadline, this->left(*exchange)),
         [this, exchange](const std::optional<RowPage>& page) {
@@ -189,7 +191,7 @@
 void JobGateway::showPending(const ExchangePtr& exchange)
 {
     if (this->left(*exchange) < Duration(1))
-        return this->answer(exchange, 504, "", "the store does not answer");
+        return this->answer(exchange, 503, "", "the store does not answer");
     this->platform.store.list(tables::jobRow(exchange->job), after(tables::cancelRow(exchange->job).key),
         std::min(attemptDeadline, this->left(*exchange)), [this, exchange](const std::optional<RowPage>& page) {
             if (!page)
@@ -241,7 +243,7 @@
     if (const auto waiting = this->hooks.waiting())
         return show(*waiting);
     if (this->left(*exchange) < Duration(1))
-        return this->answer(exchange, 504, "", "the store does not answer");
+        return this->answer(exchange, 503, "", "the store does not answer");
     const RowName name { tables::summary, Leadership::part, tables::summaryKey };
     this->platform.store.list(name, after(name.key), std::min(attemptDeadline, this->left(*exchange)),
         [this, exchange, show](const std::optional<RowPage>& page) {
--- a/src/io/process/job-gateway.h
+++ b/src/io/process/job-gateway.h
@@ -27,6 +27,9 @@
     std::function<std::shared_ptr<const FleetConfig>()> config;
     // Waiting jobs by queue on the VM that has the lead; nothing on others.
     std::function<std::optional<std::map<std::string, int>>()> waiting;
+    // False while the store is known not to answer. A job is then refused before anything is written, so that the
+    // refusal is true and the caller can come back at once when the store does.
+    std::function<bool()> storeAnswers;
     LogHook log;
 };
 
--- a/src/io/process/lead-session.cpp
+++ b/src/io/process/lead-session.cpp
@@ -14,6 +14,11 @@
     constexpr Duration reactDelay { 2 };
     // Deadline of a commit. A slow store takes about 0.6 s; past it the lead would not be valid any more.
     constexpr Duration commitDeadline { 1000 };
+    // How long a node that reaches few servers leaves the lead to others. Longer than a partition between data centres
+    // usually lasts; if nobody else takes it, silence brings it back.
+    constexpr Duration cutOffPause { 6000 };
+    // Pause after a commit that failed; a store that is down gets no hundreds of calls.
+    constexpr Duration commitPause { 80 };
     // A transaction holds 100 entries; each job takes a condition and a write, and a few rows of the lead are added.
     constexpr std::size_t jobsPerCommit = 40;
     constexpr std::size_t jobsBesideServers = 20;
@@ -179,7 +184,7 @@
         FollowerHooks follow;
         follow.whole = this->guarded([apply](std::span<const StoredRow> rows) { apply(rows, true); });
         follow.changes = this->guarded([apply](std::span<const StoredRow> rows) { apply(rows, false); });
-        follow.heard = [] { /* the followers of the node watch the store */ };
+        follow.heard = follow.silent = [] { /* the followers of the node watch the store */ };
         follow.log = this->hooks.log;
         return follow;
     };
@@ -307,7 +312,7 @@
     FollowerHooks follow;
     follow.whole = this->guarded([this, apply](std::span<const StoredRow> rows) { (this->*apply)(rows); });
     follow.changes = [](std::span<const StoredRow>) { /* our own writes */ };
-    follow.heard = [] { /* the followers of the node watch the store */ };
+    follow.heard = follow.silent = [] { /* the followers of the node watch the store */ };
     follow.log = this->hooks.log;
     this->readers.push_back(std::make_unique<TableFollower>(this->context, this->platform.store,
         table, std::vector<std::string> { Leadership::part }, this->leadership.condition().version, std::move(follow)));
@@ -364,6 +369,11 @@
         return this->end("another VM has the lead");
     if (this->loaded && this->leadership.mayHold())
         this->jobScheduler.tick();
+    if (this->loaded && this->jobScheduler.isCutOff()) {
+        this->hooks.log("most backend servers do not answer", { { "fence", this->leadership.fence() } });
+        this->leadership.avoid(cutOffPause);
+        return this->release();
+    }
     if (this->loaded && this->leadership.isValid()) {
         this->machineUpkeep.tick();
         this->poolMover.tick(*this->fleetConfig);
@@ -389,7 +399,7 @@
 
 void LeadSession::storeChanges()
 {
-    if (this->over || this->committing)
+    if (this->over || this->committing || this->clock.now() < this->commitAt)
         return;
     RowTransaction transaction;
     Batch batch;
@@ -454,6 +464,8 @@
         this->jobScheduler.enrolled(batch.servers);
         return this->poke();
     }
+    this->leadership.storeFailed();
+    this->commitAt = this->clock.now() + commitPause;
     this->hooks.log("progress was not stored",
         { { "status", static_cast<int>(result.status) }, { "jobs", batch.jobs.size() },
             { "age_ms", (this->clock.now() - sentAt).count() } });
--- a/src/io/process/lead-session.h
+++ b/src/io/process/lead-session.h
@@ -115,6 +115,7 @@
     bool over = false;
     std::map<std::string, int> storedSummary;
     TimePoint summaryAt;
+    TimePoint commitAt; // no commit before
 };
 
 } // namespace waxwinglug::io
--- a/src/io/process/table-follower.cpp
+++ b/src/io/process/table-follower.cpp
@@ -112,6 +112,7 @@
 
     void noteSilence()
     {
+        this->hooks.silent();
         if (std::exchange(this->silent, true))
             return;
         this->hooks.log("the store does not answer", { { "table", this->table } });
--- a/src/io/process/table-follower.h
+++ b/src/io/process/table-follower.h
@@ -22,6 +22,8 @@
     std::function<void(std::span<const StoredRow>)> changes;
     // The store answered, with or without changes.
     std::function<void()> heard;
+    // A call was not answered.
+    std::function<void()> silent;
     LogHook log;
 };
 
--- a/src/job/leadership.cpp
+++ b/src/job/leadership.cpp
@@ -120,12 +120,14 @@
 
 bool Leadership::isValid() const
 {
-    return this->leading && this->clock.now() - this->confirmedAt < this->times.validity;
+    const auto age = this->clock.now() - this->confirmedAt;
+    const bool failing = this->failedAt > this->confirmedAt;
+    return this->leading && age < (failing ? this->times.withoutStore : this->times.validity);
 }
 
 bool Leadership::mayHold() const
 {
-    return this->leading && this->clock.now() - this->confirmedAt < this->times.holdWithoutStore;
+    return this->leading && this->clock.now() - this->confirmedAt < this->times.withoutStore;
 }
 
 void Leadership::stepDown()
--- a/src/job/leadership.h
+++ b/src/job/leadership.h
@@ -23,8 +23,9 @@
     // The lead starts nothing when its last confirmed transaction began longer ago than this; shorter than `silence`,
     // so that a lead that was paused has stopped before another one begins.
     Duration validity { 1300 };
-    // The lead keeps running work alive for this long without the store.
-    Duration holdWithoutStore { 4000 };
+    // While the store fails, the lead goes on for this long: nobody can take the lead from a store that is down, and if
+    // it only turns this VM away, backend servers refuse the orders once another lead has reached them.
+    Duration withoutStore { 5000 };
     // Part of `silence` that a VM with little processor waits longer, so that large VMs take the lead first.
     Duration smallVmDelay { 200 };
     // Pause after an attempt to take the lead that failed, at most twice this. All VMs try, and a slow store that is
@@ -62,11 +63,15 @@
     RowValue beat(bool released);
     // A transaction of the lead that began at this moment was committed.
     void confirmed(TimePoint sentAt);
-    // True while no other VM can have taken the lead.
+    // A transaction of the lead was refused by a failing store, or not answered.
+    void storeFailed() { this->failedAt = this->clock.now(); }
+    // True while tasks may be started: no other VM can have taken the lead, or backend servers would tell.
     bool isValid() const;
     // True while running work is still kept alive.
     bool mayHold() const;
     void stepDown();
+    // Leaves the lead to others for a while, because this node reaches too few backend servers.
+    void avoid(Duration time) { this->retryAt = this->clock.now() + time; }
 
 private:
     const LeadTimes times;
@@ -87,6 +92,7 @@
     TimePoint beatSeenAt;
     TimePoint heardAt;
     TimePoint confirmedAt;
+    TimePoint failedAt;
     TimePoint beatSentAt;
     TimePoint retryAt;
 };
--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -22,6 +22,9 @@
     constexpr Duration holdRepeat { 250 };
     // A server whose ends are not stored yet would answer at once; this is the pause while the store is slow.
     constexpr Duration unstoredPause { 150 };
+    // An order without an answer is carried out at most this much later. Those of an earlier life name times on its
+    // clock, which a new life takes for times far ahead, so its lease may be as long as leases can be.
+    constexpr Duration longestDelay { 12'000 };
     // Pause before a task is started again after a refused start.
     constexpr Duration refusedPause { 100 };
     // Pause before new starts at a server that has refused one for its health or room.
@@ -231,6 +234,8 @@
     }
     if (server.missedHolds > 0 && server.answered)
         this->hooks.log("backend server answers again", { { "server", serverId }, { "missed", server.missedHolds } });
+    if (!server.answered && server.lifeBegunAt != TimePoint {})
+        server.leaseUntil = report.clock + longestDelay.count() + this->rules.longestLease.count();
     server.answered = true;
     server.inherited = false;
     server.missedHolds = 0;
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -52,6 +52,7 @@
     if (!this->hooks.mayStart())
         return;
     const auto changed = std::exchange(this->touched, {});
+    this->unknownUse = this->inheritedUse();
     for (const auto& [service, jobs] : this->activeJobs) {
         if (!service.empty() && !jobs.empty() && (all || changed.contains(service)))
             this->dispatchService(service);
@@ -156,13 +157,26 @@
     }
 }
 
+// Servers of the previous lead that have not answered may be full of any one team's tasks.
+Resources JobScheduler::inheritedUse() const
+{
+    Resources most;
+    if (this->clock.now() - this->begunAt > this->rules.inheritedLease)
+        return most;
+    for (const auto& [id, server] : this->serverMap) {
+        if (server->inherited)
+            most += server->record.capacity;
+    }
+    return most;
+}
+
 bool JobScheduler::teamHasRoom(const Job& job, const Resources& need) const
 {
     const auto* team = this->config->team(job.spec.team);
     if (!team)
         return true;
     const auto use = this->teamUse.find(job.spec.team);
-    const auto total = (use == this->teamUse.end() ? Resources {} : use->second) + need;
+    const auto total = (use == this->teamUse.end() ? Resources {} : use->second) + need + this->unknownUse;
     const auto within = [](std::int64_t amount, std::int64_t limit) { return limit == 0 || amount <= limit; };
     return within(total.cpu, team->limit.cpu) && within(total.memory, team->limit.memory)
         && within(total.accelerators, team->limit.accelerators);
--- a/src/job/reports.cpp
+++ b/src/job/reports.cpp
@@ -62,7 +62,9 @@
     // A failure counts as soon as its end is acknowledged, even if the task has been started again.
     if (ended.end == RunEnd::Failed && task.phase != TaskPhase::Done)
         this->taskFailed(job, ended.task, task, ended.run);
-    if (task.phase != TaskPhase::Waiting || ended.run <= task.run)
+    // A run that was given up because its server was silent may have been done before its lease ended. Its end counts
+    // unless the task was started again.
+    if (task.phase != TaskPhase::Waiting || ended.run < task.run)
         return;
     task.run = ended.run;
     if (!ended.checkpoint.empty())
@@ -192,7 +194,7 @@
     auto* job = this->jobTable.find(running.task.job);
     auto* task = job ? job->find(running.task) : nullptr;
     if (!task || job->isOver() || task->phase != TaskPhase::Waiting || running.run < task->run) {
-        server.strays[running.task] = running.run;
+        this->addStray(server, running, job);
         this->hooks.log("run that is not needed is stopped",
             { { "job", running.task.job }, { "task", taskText(running.task) }, { "run", running.run },
                 { "server", server.record.id }, { "job_known", job != nullptr } });
@@ -226,6 +228,30 @@
             { "server", server.record.id }, { "percent", running.percent } });
 }
 
+void JobScheduler::addStray(Server& server, const RunningTask& running, const Job* job)
+{
+    const auto [place, added] = server.strays.try_emplace(running.task);
+    auto& stray = place->second;
+    stray.run = running.run;
+    const auto step = static_cast<std::size_t>(running.task.step);
+    if (!added || !job || step >= job->spec.steps.size())
+        return;
+    stray.team = job->spec.team;
+    stray.need = job->spec.steps[step].need;
+    this->teamUse[stray.team] += stray.need;
+}
+
+void JobScheduler::dropStrays(Server& server, const std::function<bool(const TaskId&, int run)>& ended)
+{
+    std::erase_if(server.strays, [&](const auto& entry) {
+        const auto& [id, stray] = entry;
+        if (!ended(id, stray.run))
+            return false;
+        this->teamUse[stray.team] -= stray.need;
+        return true;
+    });
+}
+
 // Runs that a report should show and does not.
 void JobScheduler::applyMissing(Server& server, TimePoint sentAt, const HoldReport& report)
 {
@@ -234,7 +260,7 @@
     std::set<std::pair<TaskId, int>> listed;
     for (const auto& running : report.running)
         listed.emplace(running.task, running.run);
-    std::erase_if(server.strays, [&listed](const auto& stray) { return !listed.contains({ stray.first, stray.second }); });
+    this->dropStrays(server, [&listed](const TaskId& id, int run) { return !listed.contains({ id, run }); });
     for (auto run = server.runs.begin(); run != server.runs.end();) {
         const auto current = run++;
         auto& task = *current->second.task;
@@ -360,7 +386,7 @@
     server.processedEnds = 0;
     server.storedEnds = 0;
     server.unstoredEnds.clear();
-    server.strays.clear();
+    this->dropStrays(server, [](const TaskId&, int) { return true; });
     server.reportClock = 0;
     server.leaseUntil = 0;
     server.troubles = 0;
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -9,6 +9,15 @@
 using detail::Server;
 using detail::TaskPhase;
 
+namespace {
+
+    // With fewer servers, silent ones say little about this node.
+    constexpr int leastServersForCut = 4;
+    // An order without an answer is carried out at most 12 s later, and leases end at most 10 s after that.
+    constexpr Duration longestDoubt { 22'000 };
+
+} // namespace
+
 std::string_view statusName(OrderStatus status)
 {
     switch (status) {
@@ -342,6 +351,19 @@
     return job ? std::optional(job->state) : std::nullopt;
 }
 
+bool JobScheduler::isCutOff() const
+{
+    int used = 0;
+    int silent = 0;
+    for (const auto& [id, server] : this->serverMap) {
+        if (!server->enrolled || !server->listed)
+            continue;
+        ++used;
+        silent += server->missedHolds > 0;
+    }
+    return used >= leastServersForCut && silent * 2 > used;
+}
+
 void JobScheduler::setClosing(std::string_view machine, bool closing)
 {
     if (closing)
@@ -385,9 +407,6 @@
     return latest;
 }
 
-// An order without an answer is carried out at most 12 s later, and leases end at most 10 s after that.
-constexpr Duration longestDoubt { 22'000 };
-
 // Gives up the runs of servers whose leases are over, and forgets servers that are gone.
 void JobScheduler::dropLostServers()
 {
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -40,12 +40,15 @@
     std::uint64_t fence = 0;
     // How long a hold call keeps the lease; also bounds how long work of an unreachable server waits.
     Duration lease { std::chrono::seconds(4) };
+    // Longest lease that backend servers grant, whatever is asked for.
+    Duration longestLease { std::chrono::seconds(10) };
     // Validity of a start order. Short, so that an order without an answer is void soon.
     Duration startValidity { std::chrono::milliseconds(2500) };
     // Longest wait of one hold call for an end.
     Duration holdWait { std::chrono::seconds(1) };
-    // How long leases of an earlier lead may last after this one has begun.
-    Duration inheritedLease { std::chrono::seconds(7) };
+    // How long leases and start orders of an earlier lead may last after this one has begun: an earlier lead goes on for
+    // 5 s without the store, of which 1.6 s have passed, and its last lease ends 4 s later on a slow clock.
+    Duration inheritedLease { std::chrono::seconds(8) };
     // How long rows of an ended job are kept.
     Duration keepEnded { std::chrono::minutes(3) };
     // No machine or task of a lasting step is interrupted earlier than this after it was away.
@@ -127,6 +130,9 @@
     // Stops lasting tasks on a machine as far as their steps can spare them.
     void evacuate(std::string_view machine);
 
+    // Most of the servers in use do not answer this node, so another one may reach more of them.
+    bool isCutOff() const;
+
     const detail::ServerMap& servers() const { return this->serverMap; }
     const detail::JobTable& jobs() const { return this->jobTable; }
 
@@ -168,6 +174,8 @@
     void applyEnd(detail::Server& server, const EndedRun& ended);
     void applyRunning(detail::Server& server, const RunningTask& running, TimePoint sentAt);
     void applyMissing(detail::Server& server, TimePoint sentAt, const HoldReport& report);
+    void addStray(detail::Server& server, const RunningTask& running, const detail::Job* job);
+    void dropStrays(detail::Server& server, const std::function<bool(const TaskId&, int run)>& ended);
     void adopt(detail::Server& server, const RunningTask& running);
     void releaseRun(detail::Server& server, std::map<TaskId, detail::Run>::iterator run);
     void endRun(detail::Server& server, std::map<TaskId, detail::Run>::iterator run, RunEnd end, bool listed);
@@ -197,6 +205,7 @@
     detail::Server* chooseServer(const ReadyStep& ready, const detail::Task& task,
         std::span<detail::Server* const> candidates, const std::map<const detail::Server*, Resources>& planned) const;
     bool isUsable(const detail::Server& server) const;
+    Resources inheritedUse() const;
     bool teamHasRoom(const detail::Job& job, const Resources& need) const;
     bool inheritsUnknownRuns(const std::string& service) const;
     bool canSpare(const detail::Run& run) const;
@@ -213,6 +222,8 @@
     std::map<std::string, std::set<detail::Job*>> activeJobs;
     std::set<const detail::Job*> inheritedJobs;
     std::map<std::string, Resources> teamUse;
+    // The most that may run on servers that have not answered yet, as of the latest dispatch.
+    Resources unknownUse;
     // Services in which a task may be able to start since the last dispatch.
     std::set<std::string> touched;
     // Changed jobs in the order of their first change that is not stored.
--- a/src/job/server-table.h
+++ b/src/job/server-table.h
@@ -26,6 +26,13 @@
     std::int64_t latency = 0;
 };
 
+// A run on a server that nobody needs, with what it counts for its team.
+struct Stray {
+    int run = 0;
+    std::string team;
+    Resources need;
+};
+
 // An end that is not yet acknowledged, because what it changed is not stored.
 struct UnstoredEnd {
     std::uint64_t number = 0;
@@ -56,9 +63,9 @@
     std::deque<UnstoredEnd> unstoredEnds;
     Resources used;
     std::map<TaskId, Run> runs;
-    // Runs that nobody needs, by task, with their number. They are being stopped and take room until they are no longer
+    // Runs that nobody needs. They are being stopped, and take room and count for their team until they are no longer
     // listed.
-    std::map<TaskId, int> strays;
+    std::map<TaskId, Stray> strays;
     // Gets no new tasks, because maintenance wants the machine.
     bool closing = false;
     // Maintenance will want the machine soon; lasting tasks are better placed elsewhere.
--- a/test/job/scheduling-world.h
+++ b/test/job/scheduling-world.h
@@ -88,6 +88,7 @@
         std::unique_ptr<JobScheduler> scheduler;
         std::uint64_t version = 0; // of the lead row
         TimePoint confirmedAt;
+        TimePoint failedAt;
         TimePoint beatAt;
         TimePoint tickAt;
         TimePoint pausedUntil;
