--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -49,6 +49,15 @@
         return clock;
     }
 
+    // Every kind of log line has a counter, which also counts the lines that are dropped.
+    std::string counterName(std::string_view event)
+    {
+        std::string name("event_");
+        for (const char c : event)
+            name += c >= 'a' && c <= 'z' ? c : '_';
+        return name;
+    }
+
     Random seededRandom()
     {
         std::random_device device;
@@ -89,8 +98,10 @@
 private:
     LogHook logHook()
     {
-        return
-            [this](std::string_view event, std::initializer_list<LogField> fields) { this->log.info(event, fields); };
+        return [this](std::string_view event, std::initializer_list<LogField> fields) {
+            this->metrics.counter(counterName(event), event).add();
+            this->log.info(event, fields);
+        };
     }
 
     GatewayHooks gatewayHooks()
--- a/src/io/process/log.cpp
+++ b/src/io/process/log.cpp
@@ -4,6 +4,9 @@
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -14,6 +17,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <ostream>
 #include <vector>
@@ -21,7 +25,12 @@
 namespace waxwinglug {
 namespace {
 
-    using Sink = boost::log::sinks::synchronous_sink<boost::log::sinks::text_ostream_backend>;
+    using Backend = boost::log::sinks::text_ostream_backend;
+    using WaitingSink = boost::log::sinks::synchronous_sink<Backend>;
+    // Lines that wait for a slow reader; further ones are dropped. About 1 MB.
+    constexpr std::size_t mostWaitingLines = 4000;
+    using QueuedSink = boost::log::sinks::asynchronous_sink<Backend,
+        boost::log::sinks::bounded_fifo_queue<mostWaitingLines, boost::log::sinks::drop_on_overflow>>;
 
     std::string_view levelName(LogLevel level)
     {
@@ -68,10 +77,27 @@
         BOOST_LOG_SEV(logger, level) << line;
     }
 
-    boost::shared_ptr<Sink>& currentSink()
+    // Ends the output that is set up; empty while there is none.
+    std::function<void()>& endOutput()
     {
-        static boost::shared_ptr<Sink> sink;
-        return sink;
+        static std::function<void()> end;
+        return end;
+    }
+
+    boost::shared_ptr<Backend> makeBackend(std::ostream& output)
+    {
+        auto backend = boost::make_shared<Backend>();
+        backend->add_stream(boost::shared_ptr<std::ostream>(&output, boost::null_deleter()));
+        // A process that is killed loses no line that has reached this point.
+        backend->auto_flush(true);
+        return backend;
+    }
+
+    template <typename Sink> void addSink(const boost::shared_ptr<Sink>& sink, LogLevel least)
+    {
+        sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+        sink->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >= least);
+        boost::log::core::get()->add_sink(sink);
     }
 
 } // namespace
@@ -79,25 +105,30 @@
 void startLogging(std::ostream& output, LogLevel least)
 {
     stopLogging();
-    auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&output, boost::null_deleter()));
-    // A process that is killed loses no line that it has written.
-    backend->auto_flush(true);
-    auto sink = boost::make_shared<Sink>(backend);
-    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
-    sink->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >= least);
-    boost::log::core::get()->add_sink(sink);
-    currentSink() = sink;
+    const auto sink = boost::make_shared<WaitingSink>(makeBackend(output));
+    addSink(sink, least);
+    endOutput() = [sink] {
+        boost::log::core::get()->remove_sink(sink);
+        sink->flush();
+    };
+}
+
+void startQueuedLogging(std::ostream& output, LogLevel least)
+{
+    stopLogging();
+    const auto sink = boost::make_shared<QueuedSink>(makeBackend(output));
+    addSink(sink, least);
+    endOutput() = [sink] {
+        boost::log::core::get()->remove_sink(sink);
+        sink->stop();
+        sink->flush();
+    };
 }
 
 void stopLogging()
 {
-    auto& sink = currentSink();
-    if (!sink)
-        return;
-    boost::log::core::get()->remove_sink(sink);
-    sink->flush();
-    sink.reset();
+    if (const auto end = std::exchange(endOutput(), nullptr))
+        end();
 }
 
 Log::Log(std::string_view component, Clock source, int most)
--- a/src/io/process/log.h
+++ b/src/io/process/log.h
@@ -24,6 +24,9 @@
 // Sets up the process-wide output; call once at start. Lines below `least` are not written. The stream must outlive
 // all logging.
 void startLogging(std::ostream& output, LogLevel least = LogLevel::Info);
+// The same for daemons: a thread writes the lines from a bounded queue, so that a full pipe never holds up the caller.
+// Lines that find the queue full are lost.
+void startQueuedLogging(std::ostream& output, LogLevel least = LogLevel::Info);
 // Ends the output that startLogging() set up and writes out what is buffered.
 void stopLogging();
 
--- a/src/io/process/program.cpp
+++ b/src/io/process/program.cpp
@@ -76,7 +76,7 @@
             fmt::print("{}: ok\n", options.file);
             return;
         }
-        startLogging(std::clog);
+        startQueuedLogging(std::cout);
         program.run(text, options.file, false);
         stopLogging();
     }
