Forget servers that have ended at once, and move lasting tasks of a wave without an extra wait

After all VMs had lost power, jobs stood still for 7 s, because 12 servers that moves and maintenance had ended were still listed as in use. Two type names stood twice in the tree and broke PoolSizer's tests; they are renamed.

--- a/include/waxwinglug/settings.h
+++ b/include/waxwinglug/settings.h
@@ -66,15 +66,10 @@
     Duration longestLease { 0 };
     // How long the state of an ended job can be asked for.
     Duration keepEnded { 0 };
-    // How long a task that was away counts against its step.
-    Duration notice { 0 };
     // Least time between orders of two different entry VMs for one machine.
     Duration orderLease { 0 };
-    // Time that a maintenance, or a move between pools, takes a machine away.
+    // Time that a maintenance takes a machine away.
     Duration maintenanceTime { 0 };
-    Duration moveTime { 0 };
-    // Factor on the run time of a task away from its data.
-    double remoteFactor = 1;
 };
 
 // One line of the table that `--help` prints.
--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -104,9 +104,9 @@
         };
     }
 
-    GatewayHooks gatewayHooks()
+    JobGatewayHooks gatewayHooks()
     {
-        GatewayHooks hooks;
+        JobGatewayHooks hooks;
         hooks.config = [this] { return this->config; };
         hooks.waiting = [this]() -> std::optional<std::map<std::string, int>> {
             if (!this->session || !this->session->isLoaded() || !this->leadership.isValid())
@@ -245,8 +245,6 @@
         JobSchedulerRules rules;
         rules.fence = this->leadership.fence();
         rules.keepEnded = this->settings.keepEnded + std::chrono::minutes(1);
-        rules.notice = this->settings.notice;
-        rules.remoteFactor = this->settings.remoteFactor;
         rules.lease = std::min(rules.lease, this->settings.longestLease);
         rules.longestLease = this->settings.longestLease;
         UpkeepRules upkeepRules;
--- a/src/io/process/job-gateway.cpp
+++ b/src/io/process/job-gateway.cpp
@@ -57,7 +57,7 @@
 };
 
 JobGateway::JobGateway(boost::asio::io_context& io, const FleetPlatform& fleetPlatform, Clock source,
-    Metrics& processMetrics, GatewayHooks gatewayHooks)
+    Metrics& processMetrics, JobGatewayHooks gatewayHooks)
     : context(io)
     , platform(fleetPlatform)
     , clock(std::move(source))
--- a/src/io/process/job-gateway.h
+++ b/src/io/process/job-gateway.h
@@ -22,7 +22,7 @@
 
 namespace waxwinglug::io {
 
-struct GatewayHooks {
+struct JobGatewayHooks {
     // The configuration in force; nullptr before the first one.
     std::function<std::shared_ptr<const FleetConfig>()> config;
     // Waiting jobs by queue on the VM that has the lead; nothing on others.
@@ -36,7 +36,7 @@
 class JobGateway {
 public:
     JobGateway(boost::asio::io_context& context, const FleetPlatform& platform, Clock clock, Metrics& metrics,
-        GatewayHooks hooks);
+        JobGatewayHooks hooks);
 
     void handle(HttpRequest request, Respond respond);
 
@@ -60,7 +60,7 @@
     const FleetPlatform& platform;
     const Clock clock;
     Metrics& metrics;
-    const GatewayHooks hooks;
+    const JobGatewayHooks hooks;
 };
 
 } // namespace waxwinglug::io
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -285,8 +285,7 @@
     const auto& tasks = run.job->open.at(run.occurrence).steps[static_cast<std::size_t>(run.step)].tasks;
     const auto now = this->clock.now();
     const auto away = std::ranges::count_if(tasks, [&](const Task& task) {
-        const bool atWork = task.phase == TaskPhase::Running && task.percent >= 100
-            && now - task.percentChangedAt >= this->rules.notice / 4 && task.server->reachable()
+        const bool atWork = task.phase == TaskPhase::Running && task.percent >= 100 && task.server->reachable()
             && now - task.server->reportAt < reportAge;
         return &task != run.task && !atWork;
     });
--- a/src/job/pool-balance.cpp
+++ b/src/job/pool-balance.cpp
@@ -75,7 +75,7 @@
         this->pools[service].firstSize = size;
 }
 
-std::vector<PoolMove> PoolBalance::decide(
+std::vector<MachineMove> PoolBalance::decide(
     std::span<const PoolDemand> demands, std::span<const PoolMachine> machines, TimePoint now)
 {
     std::map<std::string, State> states;
@@ -98,7 +98,7 @@
         if (machine.movable && !machine.moving)
             state->second.movable.push_back(&machine);
     }
-    std::vector<PoolMove> moves;
+    std::vector<MachineMove> moves;
     if (!standby)
         return moves;
     for (auto* state : order) {
@@ -125,7 +125,7 @@
 }
 
 // Sends machines beyond the first size to the standby pool when the pool has not needed them for a while.
-void PoolBalance::shrink(State& state, const std::string& standby, TimePoint now, std::vector<PoolMove>& moves)
+void PoolBalance::shrink(State& state, const std::string& standby, TimePoint now, std::vector<MachineMove>& moves)
 {
     auto& pool = this->pools[state.demand->service];
     const bool large = state.size > state.firstSize && !state.movable.empty()
--- a/src/job/pool-balance.h
+++ b/src/job/pool-balance.h
@@ -32,7 +32,7 @@
     bool movable = false;
 };
 
-struct PoolMove {
+struct MachineMove {
     std::string machine;
     std::string to;
 };
@@ -56,7 +56,7 @@
     std::map<std::string, int> firstSizes() const;
     void setFirstSizes(const std::map<std::string, int>& sizes);
 
-    std::vector<PoolMove> decide(
+    std::vector<MachineMove> decide(
         std::span<const PoolDemand> demands, std::span<const PoolMachine> machines, TimePoint now);
 
 private:
@@ -70,7 +70,7 @@
 
     const PoolMachine* take(State& from, int least) const;
     const PoolMachine* findMachine(std::span<State*> pools, State& standby, const State& lacking) const;
-    void shrink(State& state, const std::string& standby, TimePoint now, std::vector<PoolMove>& moves);
+    void shrink(State& state, const std::string& standby, TimePoint now, std::vector<MachineMove>& moves);
 
     const PoolRules rules;
     std::map<std::string, Pool> pools;
--- a/src/job/pool-mover.cpp
+++ b/src/job/pool-mover.cpp
@@ -133,6 +133,7 @@
     case MachineOrderStatus::Accepted:
         move->second.accepted = true;
         move->second.since = now;
+        this->scheduler.serverStopped(move->second.oldServer);
         return;
     case MachineOrderStatus::FenceTooLow:
         this->hooks.log("a later lead moves machines", { { "machine", machine } });
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -152,14 +152,21 @@
     place->due = this->dueMachines.contains(added.machine);
     for (const auto& [id, other] : this->serverMap) {
         const bool sameMachine = !added.machine.empty() && other->record.machine == added.machine;
-        if (sameMachine && id != added.id && other->record.startedAt < added.startedAt)
+        if (sameMachine && id != added.id && !other->gone && other->record.startedAt < added.startedAt) {
             this->endLife(*other, "a later server lives on its machine");
+            other->gone = true;
+        }
     }
     this->touched.insert(added.service);
 }
 
 void JobScheduler::addEnrolled(const ServerRecord& record)
 {
+    const auto* later = record.machine.empty() ? nullptr : this->serverOn(record.machine);
+    if (later && later->record.id != record.id && later->record.startedAt > record.startedAt) {
+        this->discharged.push_back(record.id);
+        return;
+    }
     auto& place = this->serverMap[record.id];
     if (!place) {
         place = std::make_unique<Server>();
@@ -351,6 +358,15 @@
     return job ? std::optional(job->state) : std::nullopt;
 }
 
+void JobScheduler::serverStopped(std::string_view id)
+{
+    const auto server = this->serverMap.find(id);
+    if (server == this->serverMap.end())
+        return;
+    this->endLife(*server->second, "its machine was moved");
+    server->second->gone = true;
+}
+
 bool JobScheduler::isCutOff() const
 {
     int used = 0;
@@ -424,8 +440,9 @@
     }
     std::erase_if(this->serverMap, [this](const auto& entry) {
         const auto& server = *entry.second;
-        const bool gone
-            = !server.listed && server.runs.empty() && server.missedHolds > 0 && !server.inherited && !server.holding;
+        const bool gone = server.gone
+            || (!server.listed && server.runs.empty() && server.missedHolds > 0 && !server.inherited
+                && !server.holding);
         if (gone)
             this->discharged.push_back(entry.first);
         return gone;
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -51,10 +51,6 @@
     Duration inheritedLease { std::chrono::seconds(8) };
     // How long rows of an ended job are kept.
     Duration keepEnded { std::chrono::minutes(3) };
-    // No machine or task of a lasting step is interrupted earlier than this after it was away.
-    Duration notice { std::chrono::milliseconds(4500) };
-    // Factor on the run time of a task away from its data.
-    double remoteFactor = 1.5;
 };
 
 // What is to be stored of one job.
@@ -130,6 +126,9 @@
     // Stops lasting tasks on a machine as far as their steps can spare them.
     void evacuate(std::string_view machine);
 
+    // The platform has ended the server and all that ran there.
+    void serverStopped(std::string_view id);
+
     // Most of the servers in use do not answer this node, so another one may reach more of them.
     bool isCutOff() const;
 
--- a/src/job/server-table.h
+++ b/src/job/server-table.h
@@ -44,6 +44,8 @@
     ServerRecord record;
     // Its row is in the store.
     bool listed = true;
+    // Nothing lives under this id any more.
+    bool gone = false;
     // An earlier lead used it, and it has not answered this one: it may run tasks that are not known here.
     bool inherited = false;
     // The store knows that the lead uses it; nothing is started there before, so that the next lead asks it as well.
--- a/src/process/fleet-node-settings.cpp
+++ b/src/process/fleet-node-settings.cpp
@@ -31,11 +31,6 @@
         return cores.has_value();
     }
 
-    bool storeRemoteFactor(FleetNodeSettings& settings, std::string_view value)
-    {
-        return assign(settings.remoteFactor, parseDecimal(value, 1, 1000));
-    }
-
     // Durations that the platform gives in seconds with a fraction.
     auto secondsInto(Duration FleetNodeSettings::*member)
     {
@@ -72,14 +67,8 @@
                 durationInto(&S::orderLease, milliseconds(0), minutes(1)) },
             { { "platform", "maintenance-seconds", "2", secondsForm, "time that a maintenance takes" },
                 secondsInto(&S::maintenanceTime) },
-            { { "platform", "move-seconds", "1.5", secondsForm, "time that a move between pools takes" },
-                secondsInto(&S::moveTime) },
             { { "jobs", "keep-seconds", "120", secondsForm, "how long the state of an ended job can be asked for" },
                 secondsInto(&S::keepEnded) },
-            { { "jobs", "notice", "4500ms", "duration, 0ms to 1m", "how long an absent lasting task counts as away" },
-                durationInto(&S::notice, milliseconds(0), minutes(1)) },
-            { { "jobs", "remote-factor", "1.5", "number, 1 to 1000", "run time away from the data against near it" },
-                storeRemoteFactor },
             { { "shutdown", "grace", "30s", "duration, 1s to 1h", "longest wait for requests in flight at shutdown" },
                 durationInto(&S::shutdownGrace, seconds(1), hours(1)) },
         };
--- a/test/io/http-caller-test.cpp
+++ b/test/io/http-caller-test.cpp
@@ -35,7 +35,9 @@
                 handle(std::move(request), std::move(respond));
                 return std::function<void()>();
             };
-            hooks.reject = [](int status, std::string_view, std::string_view) { return HttpResponse { status, {}, "" }; };
+            hooks.reject = [](int status, std::string_view, std::string_view) {
+                return HttpResponse { status, {}, "" };
+            };
             return std::make_unique<CallerServer>(
                 this->context, Endpoint { "127.0.0.1", 0 }, CallerLimits {}, std::move(hooks));
         }
--- a/test/job/pool-balance-test.cpp
+++ b/test/job/pool-balance-test.cpp
@@ -25,7 +25,7 @@
             }
         }
 
-        std::vector<PoolMove> decide(Duration passed)
+        std::vector<MachineMove> decide(Duration passed)
         {
             this->now += passed;
             std::vector<PoolDemand> demands;
--- a/test/job/scheduler-test.cpp
+++ b/test/job/scheduler-test.cpp
@@ -26,8 +26,9 @@
             hooks.start = [this](const ServerRecord& server, const StartOrder& order) {
                 this->starts.emplace_back(server.id, order);
             };
-            hooks.stop
-                = [this](const ServerRecord& server, const StopOrder& order) { this->stops.emplace_back(server.id, order); };
+            hooks.stop = [this](const ServerRecord& server, const StopOrder& order) {
+                this->stops.emplace_back(server.id, order);
+            };
             hooks.hold = [this](const ServerRecord& server, const HoldOrder& order) { this->holds[server.id] = order; };
             hooks.pace = [](const ServerRecord&, const PaceOrder&) {};
             hooks.mayStart = [this] { return this->valid; };
--- a/test/platform/wire-test.cpp
+++ b/test/platform/wire-test.cpp
@@ -6,7 +6,10 @@
 namespace waxwinglug::wire {
 namespace {
 
-    StoredRow row(std::string key, std::string value) { return { { "t", "", std::move(key) }, std::move(value), 5, false }; }
+    StoredRow row(std::string key, std::string value)
+    {
+        return { { "t", "", std::move(key) }, std::move(value), 5, false };
+    }
 
 } // namespace
 
