--- a/test/job/leadership-test.cpp
+++ b/test/job/leadership-test.cpp
@@ -28,6 +28,7 @@
         std::vector<StoredRow> list() const
         {
             std::vector<StoredRow> all;
+            all.reserve(this->rows.size());
             for (const auto& [key, row] : this->rows)
                 all.push_back(row);
             return all;
--- a/test/job/pool-balance-test.cpp
+++ b/test/job/pool-balance-test.cpp
@@ -29,9 +29,11 @@
         {
             this->now += passed;
             std::vector<PoolDemand> demands;
+            demands.reserve(this->needed.size());
             for (const auto& [service, amount] : this->needed)
                 demands.push_back({ service, service == "spare", amount });
             std::vector<PoolMachine> list;
+            list.reserve(this->machines.size());
             for (const auto& [name, pool] : this->machines)
                 list.push_back({ name, pool, size, false, true });
             auto moves = this->balance->decide(demands, list, this->now);
