--- a/src/io/process/lead-session.cpp
+++ b/src/io/process/lead-session.cpp
@@ -12,20 +12,9 @@
     constexpr Duration tickInterval { 50 };
     // Events of this time are handled together.
     constexpr Duration reactDelay { 2 };
-    // Deadline of a commit. A slow store takes about 0.6 s; past it the lead would not be valid any more.
-    constexpr Duration commitDeadline { 1000 };
     // How long a node that reaches few servers leaves the lead to others. Longer than a partition between data centres
     // usually lasts; if nobody else takes it, silence brings it back.
     constexpr Duration cutOffPause { 6000 };
-    // Pause after a commit that failed; a store that is down gets no hundreds of calls.
-    constexpr Duration commitPause { 80 };
-    // A transaction holds 100 entries; each job takes a condition and a write, and a few rows of the lead are added.
-    constexpr std::size_t jobsPerCommit = 40;
-    constexpr std::size_t jobsBesideServers = 20;
-    constexpr std::size_t serversPerCommit = 40;
-    constexpr std::size_t removalsPerTick = 1; // jobs; ended ones are as many as accepted ones, a few dozen a second
-    // Callers may see counts that are 2 s old.
-    constexpr Duration summaryInterval { 700 };
     // The row of the upkeep table with the first sizes of the pools; the others are named by numbers of waves.
     constexpr const char* poolsKey = "pools";
 
@@ -33,16 +22,6 @@
 
 } // namespace
 
-// Wraps a handler so that it is dropped when the session has ended.
-template <typename Handler> auto LeadSession::guarded(Handler handler)
-{
-    return [weak = this->weak_from_this(), handler = std::move(handler)](auto&&... arguments) {
-        const auto self = weak.lock();
-        if (self && !self->over)
-            handler(std::forward<decltype(arguments)>(arguments)...);
-    };
-}
-
 LeadSession::LeadSession(boost::asio::io_context& io, const FleetPlatform& fleetPlatform, Leadership& lead,
     JobSchedulerRules rules, UpkeepRules upkeepRules, Clock source, std::shared_ptr<const FleetConfig> config,
     LeadHooks leadHooks)
@@ -384,107 +363,6 @@
     this->storeChanges();
 }
 
-void LeadSession::addSummary(RowTransaction& transaction)
-{
-    if (this->clock.now() - this->summaryAt < summaryInterval)
-        return;
-    auto waiting = this->jobScheduler.waitingByQueue();
-    if (waiting == this->storedSummary)
-        return;
-    this->summaryAt = this->clock.now();
-    transaction.writes.push_back({ { tables::summary, Leadership::part, tables::summaryKey }, Json(waiting).dump() });
-    this->storedSummary = std::move(waiting);
-}
-
-void LeadSession::storeChanges()
-{
-    if (this->over || this->committing || this->clock.now() < this->commitAt)
-        return;
-    RowTransaction transaction;
-    Batch batch;
-    if (this->loaded) {
-        batch.servers = this->jobScheduler.takeEnrolments(serversPerCommit);
-        batch.jobs = this->jobScheduler.takeUnsaved(batch.servers.empty() ? jobsPerCommit : jobsBesideServers);
-        this->addBatch(transaction, batch);
-        this->addSummary(transaction);
-        batch.upkeep = std::exchange(this->upkeepWrites, {});
-        transaction.writes.insert(transaction.writes.end(), batch.upkeep.begin(), batch.upkeep.end());
-    }
-    if (this->leadership.beatIsDue())
-        transaction.writes.push_back(this->leadership.beat(false));
-    if (transaction.writes.empty() && transaction.removals.empty())
-        return;
-    transaction.conditions.push_back(this->leadership.condition());
-    this->committing = true;
-    this->platform.store.commit(std::move(transaction), commitDeadline,
-        this->guarded([this, sentAt = this->clock.now(), batch = std::move(batch)](
-                          const TransactionResult& result) { this->onCommit(result, sentAt, batch); }));
-}
-
-void LeadSession::addBatch(RowTransaction& transaction, const Batch& batch) const
-{
-    for (const auto& write : batch.jobs) {
-        const RowName name { tables::progress, Leadership::part, write.job };
-        transaction.conditions.push_back({ name, write.expectedVersion });
-        transaction.writes.push_back({ name, write.text });
-    }
-    for (const auto& change : batch.servers) {
-        const RowName name { tables::servers, Leadership::part, change.server };
-        if (change.record)
-            transaction.writes.push_back({ name, toJson(*change.record) });
-        else
-            transaction.removals.push_back(name);
-    }
-}
-
-// Rows of jobs that ended long ago. Their parts differ from the lead's, so the removal is not conditional on the lead;
-// an earlier lead that removes them late does no harm.
-void LeadSession::removeExpired()
-{
-    for (const auto& job : this->jobScheduler.takeExpired(removalsPerTick)) {
-        RowTransaction rows;
-        rows.removals = { tables::jobRow(job), tables::cancelRow(job) };
-        RowTransaction record;
-        record.removals = { { tables::progress, Leadership::part, job } };
-        for (auto& transaction : { rows, record })
-            this->platform.store.commit(transaction, commitDeadline, [](const TransactionResult&) {
-                // A row that stays is removed by the next lead, which finds the job ended.
-            });
-    }
-}
-
-void LeadSession::onCommit(const TransactionResult& result, TimePoint sentAt, const Batch& batch)
-{
-    this->committing = false;
-    if (result.status == CommitStatus::Committed) {
-        this->leadership.confirmed(sentAt);
-        this->jobScheduler.saved(batch.jobs, result.version);
-        this->jobScheduler.enrolled(batch.servers);
-        return this->poke();
-    }
-    this->leadership.storeFailed();
-    this->commitAt = this->clock.now() + commitPause;
-    this->hooks.log("progress was not stored",
-        { { "status", static_cast<int>(result.status) }, { "jobs", batch.jobs.size() },
-            { "age_ms", (this->clock.now() - sentAt).count() } });
-    this->storedSummary.clear();
-    if (result.status == CommitStatus::Conflict) {
-        const auto condition = this->leadership.condition();
-        std::map<std::string, std::uint64_t> versions;
-        for (const auto& row : result.conflicts) {
-            if (row.name == condition.name && row.version != condition.version)
-                return this->end("another VM has taken the lead");
-            versions[row.name.key] = row.version;
-        }
-        // A write whose answer was lost has changed the row; its version is taken over and the write repeated.
-        for (const auto& write : batch.jobs)
-            this->jobScheduler.progressVersion(write.job, versions[write.job]);
-    }
-    this->jobScheduler.notSaved(batch.jobs);
-    this->jobScheduler.notEnrolled(batch.servers);
-    this->upkeepWrites.insert(this->upkeepWrites.begin(), batch.upkeep.begin(), batch.upkeep.end());
-}
-
 void LeadSession::release()
 {
     if (this->over)
--- a/src/io/process/lead-session.h
+++ b/src/io/process/lead-session.h
@@ -23,6 +23,9 @@
 
 namespace waxwinglug::io {
 
+// Deadline of a commit. A slow store takes about 0.6 s; past it the lead would not be valid any more.
+inline constexpr Duration commitDeadline { 1000 };
+
 struct LeadHooks {
     // The lead is lost or given up; the session is to be destroyed.
     std::function<void()> ended;
@@ -119,4 +122,14 @@
     TimePoint commitAt; // no commit before
 };
 
+// Wraps a handler so that it is dropped when the session has ended.
+template <typename Handler> auto LeadSession::guarded(Handler handler)
+{
+    return [weak = this->weak_from_this(), handler = std::move(handler)](auto&&... arguments) {
+        const auto self = weak.lock();
+        if (self && !self->over)
+            handler(std::forward<decltype(arguments)>(arguments)...);
+    };
+}
+
 } // namespace waxwinglug::io
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -155,6 +155,8 @@
     void advanceStoredEnds();
     void finishJob(detail::Job& job, JobPhase state, std::string_view reason);
     void openDueJobs();
+
+    // servers.cpp
     void dropLostServers();
     bool isActive(const detail::Job& job) const { return !job.isOver(); }
 
--- /dev/null
+++ b/src/job/servers.cpp
@@ -0,0 +1,203 @@
+// Backend servers that are listed, in use, wanted by maintenance, or gone.
+#include "job/scheduler.h"
+
+#include <algorithm>
+
+namespace waxwinglug {
+
+using detail::Server;
+
+namespace {
+
+    // With fewer servers, silent ones say little about this node.
+    constexpr int leastServersForCut = 4;
+    // An order without an answer is carried out at most 12 s later, and leases end at most 10 s after that.
+    constexpr Duration longestDoubt { 22'000 };
+
+} // namespace
+
+void JobScheduler::addServer(ServerRecord record)
+{
+    auto& place = this->serverMap[record.id];
+    if (!place) {
+        place = std::make_unique<Server>();
+        this->hooks.log("backend server listed",
+            { { "server", record.id }, { "service", record.service }, { "machine", record.machine },
+                { "rack", record.rack } });
+    } else if (record.startedAt < place->record.startedAt) {
+        return; // a row of an earlier life
+    } else if (record.startedAt > place->record.startedAt) {
+        this->beginNewLife(*place);
+    }
+    if (record.draining && !place->record.draining)
+        this->hooks.log("backend server drains", { { "server", record.id } });
+    place->record = std::move(record);
+    place->listed = true;
+    const auto& added = place->record;
+    place->closing = this->closingMachines.contains(added.machine);
+    place->due = this->dueMachines.contains(added.machine);
+    for (const auto& [id, other] : this->serverMap) {
+        const bool sameMachine = !added.machine.empty() && other->record.machine == added.machine;
+        if (sameMachine && id != added.id && !other->gone && other->record.startedAt < added.startedAt) {
+            this->endLife(*other, "a later server lives on its machine");
+            other->gone = true;
+        }
+    }
+    this->touched.insert(added.service);
+}
+
+void JobScheduler::addEnrolled(const ServerRecord& record)
+{
+    const auto* later = record.machine.empty() ? nullptr : this->serverOn(record.machine);
+    if (later && later->record.id != record.id && later->record.startedAt > record.startedAt) {
+        this->discharged.push_back(record.id);
+        return;
+    }
+    auto& place = this->serverMap[record.id];
+    if (!place) {
+        place = std::make_unique<Server>();
+        place->record = record;
+        place->listed = false;
+    }
+    place->enrolled = place->record.startedAt == record.startedAt;
+    place->inherited = true;
+}
+
+std::vector<JobScheduler::Enrolment> JobScheduler::takeEnrolments(std::size_t most)
+{
+    std::vector<Enrolment> changes;
+    while (changes.size() < most && !this->discharged.empty()) {
+        // A server that answers again under its old id stays in use.
+        if (!this->serverMap.contains(this->discharged.back()))
+            changes.push_back({ this->discharged.back(), std::nullopt });
+        this->discharged.pop_back();
+    }
+    for (const auto& [id, server] : this->serverMap) {
+        if (changes.size() >= most)
+            break;
+        if (!server->enrolled && server->answered && server->listed)
+            changes.push_back({ id, server->record });
+    }
+    return changes;
+}
+
+void JobScheduler::enrolled(std::span<const Enrolment> stored)
+{
+    for (const auto& change : stored) {
+        const auto server = this->serverMap.find(change.server);
+        if (server == this->serverMap.end() || !change.record)
+            continue;
+        server->second->enrolled = true;
+        this->touched.insert(change.record->service);
+    }
+}
+
+void JobScheduler::notEnrolled(std::span<const Enrolment> failed)
+{
+    for (const auto& change : failed) {
+        if (!change.record)
+            this->discharged.push_back(change.server);
+    }
+}
+
+void JobScheduler::removeServer(std::string_view id)
+{
+    const auto place = this->serverMap.find(id);
+    if (place == this->serverMap.end() || !place->second->listed)
+        return;
+    place->second->listed = false;
+    this->hooks.log("backend server is no longer listed", { { "server", id }, { "runs", place->second->runs.size() } });
+}
+
+void JobScheduler::serverStopped(std::string_view id)
+{
+    const auto server = this->serverMap.find(id);
+    if (server == this->serverMap.end())
+        return;
+    this->endLife(*server->second, "its machine was moved");
+    server->second->gone = true;
+}
+
+bool JobScheduler::isCutOff() const
+{
+    int used = 0;
+    int silent = 0;
+    for (const auto& [id, server] : this->serverMap) {
+        if (!server->enrolled || !server->listed)
+            continue;
+        ++used;
+        silent += server->missedHolds > 0;
+    }
+    return used >= leastServersForCut && silent * 2 > used;
+}
+
+void JobScheduler::setClosing(std::string_view machine, bool closing)
+{
+    if (closing)
+        this->closingMachines.emplace(machine);
+    else
+        this->closingMachines.erase(std::string(machine));
+    for (auto& [id, server] : this->serverMap) {
+        if (server->record.machine == machine)
+            server->closing = closing;
+    }
+}
+
+void JobScheduler::setDue(std::string_view machine, bool due)
+{
+    if (due)
+        this->dueMachines.emplace(machine);
+    else
+        this->dueMachines.erase(std::string(machine));
+    for (auto& [id, server] : this->serverMap) {
+        if (server->record.machine == machine)
+            server->due = due;
+    }
+}
+
+bool JobScheduler::hasLasting(const Server& server)
+{
+    return std::ranges::any_of(server.runs, [](const auto& entry) {
+        const auto& run = entry.second;
+        return run.job->spec.steps[static_cast<std::size_t>(run.step)].lasting;
+    });
+}
+
+const Server* JobScheduler::serverOn(std::string_view machine) const
+{
+    const Server* latest = nullptr;
+    for (const auto& [id, server] : this->serverMap) {
+        const bool here = server->listed && server->record.machine == machine;
+        if (here && (!latest || latest->record.startedAt < server->record.startedAt))
+            latest = server.get();
+    }
+    return latest;
+}
+
+// Gives up the runs of servers whose leases are over, and forgets servers that are gone.
+void JobScheduler::dropLostServers()
+{
+    const auto now = this->clock.now();
+    const bool inheritedLeasesOver = now - this->begunAt > this->rules.inheritedLease;
+    for (auto& [id, server] : this->serverMap) {
+        if (server->inherited && inheritedLeasesOver)
+            server->inherited = false;
+        if (server->runs.empty() || server->missedHolds == 0)
+            continue;
+        if (server->leaseSurelyOver(now))
+            this->loseRuns(*server, "its lease is over");
+        else if (!server->answered && now - server->lifeBegunAt > longestDoubt)
+            this->loseRuns(*server, "its new life has not answered");
+    }
+    std::erase_if(this->serverMap, [this](const auto& entry) {
+        const auto& server = *entry.second;
+        const bool gone = server.gone
+            || (!server.listed && server.runs.empty() && server.missedHolds > 0 && !server.inherited
+                && !server.holding);
+        if (gone)
+            this->discharged.push_back(entry.first);
+        return gone;
+    });
+}
+
+} // namespace waxwinglug
