Number runs in one place, drop what nothing calls, and keep wave reports in order

placement.cpp computed the next run number a second time with its own copy of the figure; nextRun() serves both. Two functions without a caller are gone. A report of a wave was replaced while an older one was under way, so 'running' was sent again for each machine and could have overwritten 'completed'; it is now updated in place.

--- a/src/io/process/lead-session.cpp
+++ b/src/io/process/lead-session.cpp
@@ -88,7 +88,10 @@
     upkeep.report = [this](const MachineWave& wave, bool completed, const std::set<std::string>& done) {
         this->upkeepWrites.push_back(
             { { tables::upkeep, Leadership::part, std::to_string(wave.number) }, Json(done).dump() });
-        this->waveReports[wave.number] = { wave, completed };
+        // A report that is under way goes first; an older one must not overwrite a newer one.
+        auto& waveReport = this->waveReports[wave.number];
+        waveReport.wave = wave;
+        waveReport.completed = completed;
         this->sendReports();
     };
     upkeep.log = this->hooks.log;
--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -32,11 +32,11 @@
 
 } // namespace
 
-int JobScheduler::nextRun(const detail::StepProgress& step) const
+int JobScheduler::nextRun(std::span<const Task> tasks) const
 {
     const int base = static_cast<int>((this->rules.fence - 1) * runsPerLead);
     int highest = base;
-    for (const auto& task : step.tasks)
+    for (const auto& task : tasks)
         highest = std::max(highest, task.run);
     return highest + 1;
 }
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -197,8 +197,7 @@
         auto* server = this->chooseServer(ready, task, candidates, {});
         if (!server)
             return;
-        const int base = static_cast<int>((this->rules.fence - 1) * 10'000);
-        this->startTask(job, *ready.occurrence, ready.step, index, *server, std::max(base, task.run) + 1);
+        this->startTask(job, *ready.occurrence, ready.step, index, *server, this->nextRun({ &task, 1 }));
     }
 }
 
@@ -226,7 +225,7 @@
         planned[server] += roomNeeded(spec);
         chosen.push_back(server);
     }
-    const int run = this->nextRun(step);
+    const int run = this->nextRun(step.tasks);
     for (std::size_t index = 0; index < chosen.size(); ++index)
         this->startTask(job, *ready.occurrence, ready.step, index, *chosen[index], run);
 }
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -95,7 +95,6 @@
     void notSaved(std::span<const ProgressWrite> batch);
     // The row of a job has another version than expected.
     void progressVersion(std::string_view job, std::uint64_t rowVersion);
-    bool hasUnsaved() const { return !this->unsaved.empty(); }
 
     // Servers whose use is to be stored, or removed from the store when `record` is empty.
     struct Enrolment {
@@ -158,7 +157,6 @@
 
     // servers.cpp
     void dropLostServers();
-    bool isActive(const detail::Job& job) const { return !job.isOver(); }
 
     // orders.cpp
     void startTask(detail::Job& job, detail::Occurrence& occurrence, std::size_t step, std::size_t index,
@@ -169,7 +167,8 @@
     void sendDueHolds();
     void repeatStops();
     void superseded(const detail::Server& server);
-    int nextRun(const detail::StepProgress& step) const;
+    // The number of the next run of these tasks, which start together.
+    int nextRun(std::span<const detail::Task> tasks) const;
 
     // reports.cpp
     void applyEnd(detail::Server& server, const EndedRun& ended);
