Let a larger VM take the lead, and index servers by machine

Cause: the lead was on a VM with 0.12 of a core, which all 36 VMs had tried to take in the same look, and stayed there; its processor was used up.

The lead row names the holder's processor. A VM with half as much again takes over after 2 s, and smaller VMs wait longer than one of the last lead's size. Maintenance and moves find the server of a machine through an index (they compared 350 names for every machine in every tick); events are handled every 5 ms and commits begin at most every 15 ms.

--- /dev/null
+++ b/bench/scheduling-bench.cpp
@@ -0,0 +1,34 @@
+// Processor time of the lead scheduler for each task at the size of the grown deployments.
+#include "support/scheduling-load.h"
+
+#include <benchmark/benchmark.h>
+
+namespace waxwinglug {
+namespace {
+
+    // Ten seconds of load; items are tasks that were started.
+    void schedule(benchmark::State& state)
+    {
+        test::SchedulingLoad load;
+        load.setRate(static_cast<int>(state.range(0)));
+        for (int step = 0; step < 300; ++step)
+            load.step();
+        const auto starts = load.starts();
+        const auto holds = load.holds();
+        for (auto _ : state) {
+            for (int step = 0; step < 1000; ++step)
+                load.step();
+        }
+        const auto started = static_cast<double>(load.starts() - starts);
+        state.counters["starts"] = started;
+        state.counters["open_jobs"] = static_cast<double>(load.openJobs());
+        state.counters["holds_per_start"] = static_cast<double>(load.holds() - holds) / started;
+        state.counters["time_per_start"]
+            = benchmark::Counter(started, benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
+    }
+    BENCHMARK(schedule)->Arg(30)->Arg(60)->Arg(120)->Iterations(2)->Unit(benchmark::kMillisecond);
+
+} // namespace
+} // namespace waxwinglug
+
+BENCHMARK_MAIN();
--- a/src/io/process/lead-session.cpp
+++ b/src/io/process/lead-session.cpp
@@ -10,8 +10,9 @@
 
     // How often the scheduler does what only time makes due.
     constexpr Duration tickInterval { 50 };
-    // Events of this time are handled together.
-    constexpr Duration reactDelay { 2 };
+    // Events of this time are handled together; a fleet at its peak has more than one a millisecond, and looking for
+    // what can start costs more than most of them.
+    constexpr Duration reactDelay { 5 };
     // How long a node that reaches few servers leaves the lead to others. Longer than a partition between data centres
     // usually lasts; if nobody else takes it, silence brings it back.
     constexpr Duration cutOffPause { 6000 };
--- a/src/io/process/lead-storing.cpp
+++ b/src/io/process/lead-storing.cpp
@@ -6,6 +6,9 @@
 namespace waxwinglug::io {
 namespace {
 
+    // Least time between the beginnings of two commits. A transaction takes about 9 ms; more changes share one when the
+    // next begins a little later.
+    constexpr Duration commitInterval { 15 };
     // Pause after a commit that failed; a store that is down gets no hundreds of calls.
     constexpr Duration commitPause { 80 };
     // A transaction holds 100 entries; each job takes a condition and a write, and a few rows of the lead are added.
@@ -50,6 +53,7 @@
         return;
     transaction.conditions.push_back(this->leadership.condition());
     this->committing = true;
+    this->commitAt = this->clock.now() + commitInterval;
     this->platform.store.commit(std::move(transaction), commitDeadline,
         this->guarded([this, sentAt = this->clock.now(), batch = std::move(batch)](
                           const TransactionResult& result) { this->onCommit(result, sentAt, batch); }));
--- a/src/job/leadership.cpp
+++ b/src/job/leadership.cpp
@@ -14,24 +14,27 @@
     constexpr const char* beatKey = "beat";
     // A store that has not answered for this long says nothing about the lead. Longer than one wait for changes.
     constexpr Duration freshness { 1300 };
-    constexpr int fullProcessor = 1000; // thousandths of a core
+    constexpr int fullProcessor = 1000; // thousandths of a core; what the first lead is compared with
 
     RowName rowName(const char* key) { return { Leadership::table, Leadership::part, key }; }
 
-    Duration delayFor(const LeadTimes& times, int processor, Random& random)
+    // A VM takes over from a lead when it has at least this share of its processor, in percent. Less would not be worth
+    // the pause of a change.
+    constexpr int muchLarger = 150;
+
+    Duration randomPart(Duration most, Random& random)
     {
-        const auto missing = std::clamp(fullProcessor - processor, 0, fullProcessor);
-        const auto spread = std::uniform_int_distribution<std::int64_t>(0, times.spread.count())(random);
-        return Duration(times.smallVmDelay.count() * missing / fullProcessor + spread);
+        return Duration(std::uniform_int_distribution<std::int64_t>(0, most.count())(random));
     }
 
 } // namespace
 
-Leadership::Leadership(LeadTimes leadTimes, Clock source, std::string nodeName, int processor, Random& randomSource)
+Leadership::Leadership(LeadTimes leadTimes, Clock source, std::string nodeName, int ownProcessor, Random& randomSource)
     : times(leadTimes)
     , clock(std::move(source))
     , node(std::move(nodeName))
-    , delay(delayFor(leadTimes, processor, randomSource))
+    , processor(ownProcessor)
+    , randomDelay(randomPart(leadTimes.spread, randomSource))
     , random(randomSource)
     , beatSeenAt(clock.now())
 {
@@ -49,6 +52,8 @@
             this->leadVersion = row.version;
             this->knownFence = json.value("fence", std::uint64_t(0));
             this->knownHolder = json.value("node", "");
+            this->knownProcessor = json.value("processor", 0);
+            this->leadSeenAt = this->clock.now();
             this->released = false;
             this->beatSeenAt = this->clock.now();
             const auto nonce = json.value("attempt", "");
@@ -62,13 +67,28 @@
     }
 }
 
+// How much longer than necessary this VM leaves the lead to others.
+Duration Leadership::delay() const
+{
+    const int wanted = this->knownProcessor > 0 ? this->knownProcessor : fullProcessor;
+    const int missing = std::clamp(wanted - this->processor, 0, wanted);
+    return this->times.smallVmDelay * missing / wanted + this->randomDelay;
+}
+
+bool Leadership::isMuchLarger() const
+{
+    return this->knownProcessor > 0 && this->processor * 100 >= this->knownProcessor * muchLarger;
+}
+
 bool Leadership::shouldTake() const
 {
     const auto now = this->clock.now();
     if (this->leading || this->taking || now < this->retryAt || !this->seenTable || now - this->heardAt > freshness)
         return false;
     const bool vacant = this->knownFence == 0 || this->released;
-    return now - this->beatSeenAt >= (vacant ? Duration(0) : this->times.silence) + this->delay;
+    if (this->isMuchLarger() && now - this->leadSeenAt >= this->times.settling + this->randomDelay)
+        return true;
+    return now - this->beatSeenAt >= (vacant ? Duration(0) : this->times.silence) + this->delay();
 }
 
 RowTransaction Leadership::take()
@@ -78,8 +98,10 @@
     const auto fence = this->knownFence + 1;
     RowTransaction transaction;
     transaction.conditions.push_back({ rowName(leadKey), this->leadVersion });
-    transaction.writes.push_back(
-        { rowName(leadKey), Json { { "fence", fence }, { "node", this->node }, { "attempt", this->attempt } }.dump() });
+    transaction.writes.push_back({ rowName(leadKey),
+        Json {
+            { "fence", fence }, { "node", this->node }, { "processor", this->processor }, { "attempt", this->attempt } }
+            .dump() });
     this->beatSentAt = this->clock.now();
     return transaction;
 }
@@ -89,8 +111,7 @@
     this->taking = false;
     // After a conflict or a lost answer the changes of the table tell who leads.
     if (result.status != CommitStatus::Committed) {
-        const auto extra = std::uniform_int_distribution<std::int64_t>(0, this->times.retry.count())(this->random);
-        this->retryAt = this->clock.now() + this->times.retry + Duration(extra);
+        this->retryAt = this->clock.now() + this->times.retry + randomPart(this->times.retry, this->random);
         this->observe(result.conflicts);
         return;
     }
@@ -99,6 +120,8 @@
     this->leadVersion = result.version;
     ++this->knownFence;
     this->knownHolder = this->node;
+    this->knownProcessor = this->processor;
+    this->leadSeenAt = this->clock.now();
     this->released = false;
     this->leading = true;
     this->confirmedAt = this->beatSentAt;
--- a/src/job/leadership.h
+++ b/src/job/leadership.h
@@ -27,8 +27,11 @@
     // While the store fails, the lead goes on for this long: nobody can take the lead from a store that is down, and if
     // it only turns this VM away, backend servers refuse the orders once another lead has reached them.
     Duration withoutStore { 5000 };
-    // Part of `silence` that a VM with little processor waits longer, so that large VMs take the lead first.
-    Duration smallVmDelay { 200 };
+    // A VM waits this much longer, times the share of processor that it lacks against the last lead, so that a VM that
+    // can carry the work takes the lead first. Several times the interval at which VMs look whether to take it.
+    Duration smallVmDelay { 400 };
+    // How long a lead has worked before a larger VM takes over from it; long enough to have loaded everything.
+    Duration settling { 2000 };
     // Pause after an attempt to take the lead that failed, at most twice this. All VMs try, and a slow store that is
     // asked too often refuses everyone.
     Duration retry { 250 };
@@ -42,6 +45,7 @@
     // The part that all rows of the scheduler share, because one transaction cannot span parts.
     static constexpr const char* part = "scheduler";
 
+    // `processor` is what the VM has, in thousandths of a core.
     Leadership(LeadTimes times, Clock clock, std::string node, int processor, Random& random);
 
     // Rows of the table, as a whole or as changes.
@@ -75,10 +79,14 @@
     void avoid(Duration time) { this->retryAt = this->clock.now() + time; }
 
 private:
+    Duration delay() const;
+    bool isMuchLarger() const;
+
     const LeadTimes times;
     const Clock clock;
     const std::string node;
-    const Duration delay;
+    const int processor;
+    const Duration randomDelay;
     Random& random;
     bool leading = false;
     bool taking = false;
@@ -86,6 +94,8 @@
     std::uint64_t leadVersion = 0;
     std::uint64_t knownFence = 0;
     std::string knownHolder;
+    int knownProcessor = 0; // of the holder; 0: unknown
+    TimePoint leadSeenAt; // when the holder was first seen
     std::string attempt; // nonce of the last attempt to take the lead
     std::string finishedAttempt; // an attempt that led and has ended
     std::uint64_t beats = 0;
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -293,10 +293,11 @@
 
 void JobScheduler::evacuate(std::string_view machine)
 {
-    for (auto& [serverId, server] : this->serverMap) {
-        if (server->record.machine == machine)
-            this->evacuate(*server, "maintenance wants its machine");
-    }
+    const auto place = this->machineServers.find(std::string(machine));
+    if (place == this->machineServers.end())
+        return;
+    for (auto* server : place->second)
+        this->evacuate(*server, "maintenance wants its machine");
 }
 
 void JobScheduler::evacuate(Server& server, std::string_view reason)
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -18,6 +18,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace waxwinglug {
@@ -156,6 +157,9 @@
     void openDueJobs();
 
     // servers.cpp
+    void placeOnMachine(detail::Server& server, ServerRecord record);
+    void leaveMachine(detail::Server& server);
+    void endEarlierLives(const detail::Server& latest);
     void dropLostServers();
 
     // orders.cpp
@@ -218,6 +222,8 @@
     std::shared_ptr<const FleetConfig> config;
     detail::JobTable jobTable;
     detail::ServerMap serverMap;
+    // The servers of each machine, earlier lives included. Maintenance and moves ask for every machine in each tick.
+    std::unordered_map<std::string, std::vector<detail::Server*>> machineServers;
     // Jobs that are not over, by service; those of an unknown queue have an empty service.
     std::map<std::string, std::set<detail::Job*>> activeJobs;
     std::set<const detail::Job*> inheritedJobs;
--- a/src/job/servers.cpp
+++ b/src/job/servers.cpp
@@ -16,6 +16,26 @@
 
 } // namespace
 
+// Takes over the record, and lists the server under its machine.
+void JobScheduler::placeOnMachine(Server& server, ServerRecord record)
+{
+    if (server.record.machine != record.machine) {
+        this->leaveMachine(server);
+        this->machineServers[record.machine].push_back(&server);
+    }
+    server.record = std::move(record);
+}
+
+void JobScheduler::leaveMachine(Server& server)
+{
+    const auto place = this->machineServers.find(server.record.machine);
+    if (place == this->machineServers.end())
+        return;
+    std::erase(place->second, &server);
+    if (place->second.empty())
+        this->machineServers.erase(place);
+}
+
 void JobScheduler::addServer(ServerRecord record)
 {
     auto& place = this->serverMap[record.id];
@@ -31,19 +51,27 @@
     }
     if (record.draining && !place->record.draining)
         this->hooks.log("backend server drains", { { "server", record.id } });
-    place->record = std::move(record);
+    this->placeOnMachine(*place, std::move(record));
     place->listed = true;
     const auto& added = place->record;
     place->closing = this->closingMachines.contains(added.machine);
     place->due = this->dueMachines.contains(added.machine);
-    for (const auto& [id, other] : this->serverMap) {
-        const bool sameMachine = !added.machine.empty() && other->record.machine == added.machine;
-        if (sameMachine && id != added.id && !other->gone && other->record.startedAt < added.startedAt) {
+    this->endEarlierLives(*place);
+    this->touched.insert(added.service);
+}
+
+// A machine runs one server at a time, so a later one shows that the earlier ones are gone.
+void JobScheduler::endEarlierLives(const Server& latest)
+{
+    const auto place = this->machineServers.find(latest.record.machine);
+    if (place == this->machineServers.end())
+        return;
+    for (auto* other : place->second) {
+        if (other != &latest && !other->gone && other->record.startedAt < latest.record.startedAt) {
             this->endLife(*other, "a later server lives on its machine");
             other->gone = true;
         }
     }
-    this->touched.insert(added.service);
 }
 
 void JobScheduler::addEnrolled(const ServerRecord& record)
@@ -56,7 +84,7 @@
     auto& place = this->serverMap[record.id];
     if (!place) {
         place = std::make_unique<Server>();
-        place->record = record;
+        this->placeOnMachine(*place, record);
         place->listed = false;
     }
     place->enrolled = place->record.startedAt == record.startedAt;
@@ -137,8 +165,8 @@
         this->closingMachines.emplace(machine);
     else
         this->closingMachines.erase(std::string(machine));
-    for (auto& [id, server] : this->serverMap) {
-        if (server->record.machine == machine)
+    if (const auto place = this->machineServers.find(std::string(machine)); place != this->machineServers.end()) {
+        for (auto* server : place->second)
             server->closing = closing;
     }
 }
@@ -149,8 +177,8 @@
         this->dueMachines.emplace(machine);
     else
         this->dueMachines.erase(std::string(machine));
-    for (auto& [id, server] : this->serverMap) {
-        if (server->record.machine == machine)
+    if (const auto place = this->machineServers.find(std::string(machine)); place != this->machineServers.end()) {
+        for (auto* server : place->second)
             server->due = due;
     }
 }
@@ -166,10 +194,12 @@
 const Server* JobScheduler::serverOn(std::string_view machine) const
 {
     const Server* latest = nullptr;
-    for (const auto& [id, server] : this->serverMap) {
-        const bool here = server->listed && server->record.machine == machine;
-        if (here && (!latest || latest->record.startedAt < server->record.startedAt))
-            latest = server.get();
+    const auto place = this->machineServers.find(std::string(machine));
+    if (place == this->machineServers.end())
+        return latest;
+    for (const auto* server : place->second) {
+        if (server->listed && (!latest || latest->record.startedAt < server->record.startedAt))
+            latest = server;
     }
     return latest;
 }
@@ -194,8 +224,10 @@
         const bool gone = server.gone
             || (!server.listed && server.runs.empty() && server.missedHolds > 0 && !server.inherited
                 && !server.holding);
-        if (gone)
+        if (gone) {
+            this->leaveMachine(*entry.second);
             this->discharged.push_back(entry.first);
+        }
         return gone;
     });
 }
--- a/src/job/upkeep.cpp
+++ b/src/job/upkeep.cpp
@@ -125,19 +125,24 @@
     return (this->rules.maintenanceTime + closingPatience) * rounds > left;
 }
 
-bool Upkeep::serviceCanSpare(const Server& server) const
+// Listed servers of each service, and those of them that cannot take work.
+std::map<std::string, Upkeep::ServiceRoom> Upkeep::serviceRooms() const
 {
-    int all = 0;
-    int away = 0;
-    for (const auto& [id, other] : this->scheduler.servers()) {
-        if (!other->listed || other->record.service != server.record.service)
+    std::map<std::string, ServiceRoom> rooms;
+    for (const auto& [id, server] : this->scheduler.servers()) {
+        if (!server->listed)
             continue;
-        ++all;
-        away += other->closing || !other->reachable();
+        auto& room = rooms[server->record.service];
+        ++room.all;
+        room.away += server->closing || !server->reachable();
     }
-    const bool late = std::ranges::any_of(
+    return rooms;
+}
+
+bool Upkeep::isAnyLate() const
+{
+    return std::ranges::any_of(
         this->waves, [this](const auto& wave) { return !wave.second.completed && this->isLate(wave.second); });
-    return (away + 1) * 100 <= std::max(all * (late ? lateShare : usualShare), 100);
 }
 
 void Upkeep::closeMore(Wave& wave)
@@ -152,13 +157,20 @@
         const auto* server = this->scheduler.serverOn(name);
         due.emplace_back(server ? server->used.cpu : 0, name);
     }
+    if (due.empty() || busy >= most)
+        return;
     std::ranges::sort(due);
+    auto rooms = this->serviceRooms();
+    const int share = this->isAnyLate() ? lateShare : usualShare;
     for (const auto& [load, name] : due) {
         if (busy >= most)
             return;
-        const auto* server = this->scheduler.serverOn(name);
-        if (server && !this->serviceCanSpare(*server))
-            continue;
+        if (const auto* server = this->scheduler.serverOn(name)) {
+            auto& room = rooms[server->record.service];
+            if ((room.away + 1) * 100 > std::max(room.all * share, 100))
+                continue;
+            room.away += server->reachable() && !server->closing;
+        }
         this->setStage(name, wave.machines.at(name), Stage::Closing);
         ++busy;
     }
--- a/src/job/upkeep.h
+++ b/src/job/upkeep.h
@@ -71,7 +71,12 @@
     void sendOrder(Wave& wave, const std::string& name, Machine& machine);
     void setStage(const std::string& name, Machine& machine, Stage stage);
     void report(Wave& wave);
-    bool serviceCanSpare(const detail::Server& server) const;
+    struct ServiceRoom {
+        int all = 0;
+        int away = 0;
+    };
+    std::map<std::string, ServiceRoom> serviceRooms() const;
+    bool isAnyLate() const;
     bool isLate(const Wave& wave) const;
     static int countOf(const Wave& wave, std::initializer_list<Stage> stages);
 
--- a/test/job/leadership-test.cpp
+++ b/test/job/leadership-test.cpp
@@ -144,4 +144,41 @@
     EXPECT_FALSE(this->first.leads()) << "a lead that was given up does not come back";
 }
 
+// Guards against a fleet of hundreds of servers that is run by a VM with an eighth of a core while larger VMs look on.
+TEST_F(TwoNodes, aSmallLeadGivesWayToALargerVm)
+{
+    Leadership large { {}, this->clock.clock(), "large", 500, this->random };
+    this->firstLeads();
+    this->hear(large);
+    EXPECT_FALSE(large.shouldTake()) << "a lead that has just begun is left alone";
+    for (int beats = 0; beats < 6; ++beats) {
+        this->clock.advance(Duration(400));
+        this->beat(false);
+        this->hear(this->second);
+        this->hear(large);
+    }
+    EXPECT_FALSE(this->second.shouldTake()) << "a VM of the same size leaves the lead where it is";
+    EXPECT_TRUE(large.shouldTake());
+    large.takeAnswered(this->store.commit(large.take()));
+    this->hear(this->first);
+    EXPECT_FALSE(this->first.leads());
+    EXPECT_TRUE(large.leads());
+}
+
+// Guards against a lead that falls to a small VM because all VMs notice its loss at the same moment.
+TEST_F(TwoNodes, afterALargeLeadASmallerVmWaitsLonger)
+{
+    Leadership small { {}, this->clock.clock(), "small", 60, this->random };
+    this->firstLeads();
+    this->hear(small);
+    this->clock.advance(Duration(1700));
+    this->second.heardStore();
+    small.heardStore();
+    EXPECT_TRUE(this->second.shouldTake());
+    EXPECT_FALSE(small.shouldTake());
+    this->clock.advance(Duration(400));
+    small.heardStore();
+    EXPECT_TRUE(small.shouldTake()) << "when no larger VM takes it";
+}
+
 } // namespace waxwinglug
--- /dev/null
+++ b/test/support/scheduling-load.cpp
@@ -0,0 +1,160 @@
+// Servers and arrivals of the load.
+#include "support/scheduling-load.h"
+
+#include <fmt/format.h>
+
+namespace waxwinglug::test {
+namespace {
+
+    constexpr Duration stepTime { 10 };
+    constexpr Duration turn { 4500 };
+    constexpr int tickSteps = 5; // the lead session ticks every 50 ms
+
+    std::string serviceName(int number) { return fmt::format("service-{}", number); }
+
+} // namespace
+
+SchedulingLoad::SchedulingLoad()
+{
+    JobSchedulerHooks hooks;
+    hooks.start = [this](const ServerRecord& record, const StartOrder& order) {
+        ++this->startedRuns;
+        const auto time = std::uniform_int_distribution<int>(500, 1500)(this->random);
+        this->servers.at(record.id).running.emplace(order.task, Run { order.run, this->manual.now() + Duration(time) });
+        this->confirmations.emplace_back(record.id, order.task, order.run);
+    };
+    hooks.stop = [](const ServerRecord&, const StopOrder&) { /* no job of this load is cancelled */ };
+    hooks.pace = [](const ServerRecord&, const PaceOrder&) { /* no task of this load fills */ };
+    hooks.hold = [this](const ServerRecord& record, const HoldOrder& order) {
+        ++this->holdCalls;
+        auto& server = this->servers.at(record.id);
+        while (!server.ended.empty() && server.ended.front().number <= order.storedEnds)
+            server.ended.pop_front();
+        server.holding = true;
+        server.heldSince = this->manual.now();
+        server.holdUntil = server.heldSince + order.wait;
+    };
+    hooks.mayStart = [] { return true; };
+    hooks.superseded = [] { /* there is one lead */ };
+    hooks.log = [](std::string_view, std::initializer_list<LogField>) { /* logs are measured elsewhere */ };
+    JobSchedulerRules rules;
+    rules.fence = 1;
+    this->scheduler = std::make_unique<JobScheduler>(rules, this->manual.clock(), std::move(hooks));
+    FleetConfig fleet;
+    for (int service = 0; service < services; ++service) {
+        fleet.queues.push_back({ serviceName(service), "", "", serviceName(service), 0, 3, 1.6, Duration(600) });
+        fleet.services.push_back({ serviceName(service), false, false });
+    }
+    this->scheduler->setConfig(std::make_shared<FleetConfig>(fleet));
+    this->addServers();
+}
+
+void SchedulingLoad::addServers()
+{
+    for (int service = 0; service < services; ++service) {
+        for (int number = 0; number < serversPerService; ++number) {
+            ServerRecord record;
+            record.id = fmt::format("server-{}-{}", service, number);
+            record.service = serviceName(service);
+            record.machine = "machine-" + record.id;
+            record.rack = fmt::format("rack-{}", number / 12);
+            record.labels = { "a", record.rack };
+            record.capacity = { 64'000, 131'072, 0 };
+            this->servers[record.id];
+            this->scheduler->addServer(record);
+        }
+    }
+    this->scheduler->tick();
+    for (auto& [id, server] : this->servers)
+        this->answerHold(id, server);
+    for (auto changes = this->scheduler->takeEnrolments(40); !changes.empty();
+         changes = this->scheduler->takeEnrolments(40))
+        this->scheduler->enrolled(changes);
+}
+
+void SchedulingLoad::addJob(int service)
+{
+    const auto pick
+        = [this](int least, int most) { return std::uniform_int_distribution<int>(least, most)(this->random); };
+    JobSpec job;
+    job.id = fmt::format("{:016x}", ++this->jobs);
+    job.queue = serviceName(service);
+    job.acceptedAt = this->manual.clock().wallNow();
+    const int steps = pick(1, 2);
+    for (int number = 0; number < steps; ++number) {
+        StepSpec step;
+        step.count = pick(2, 14);
+        step.need = { pick(3, 9) * 1000LL, pick(5, 17) * 1000LL, 0 };
+        step.estimate = Duration(1000);
+        if (number > 0)
+            step.after = { number - 1 };
+        job.steps.push_back(step);
+    }
+    this->scheduler->addJob(std::move(job), false);
+}
+
+void SchedulingLoad::arrive()
+{
+    const auto turns = this->manual.now().time_since_epoch() / turn;
+    const int peaking = static_cast<int>(turns % services);
+    for (this->due += this->rate * stepTime.count(); this->due >= 1000; this->due -= 1000)
+        this->addJob(std::uniform_int_distribution<int>(0, 99)(this->random) < 85 ? peaking : (peaking + 1) % services);
+}
+
+void SchedulingLoad::answerHold(const std::string& id, FakeServer& server)
+{
+    HoldReport report;
+    report.clock = this->manual.now().time_since_epoch().count();
+    report.ended.assign(server.ended.begin(), server.ended.end());
+    for (const auto& [task, run] : server.running)
+        report.running.push_back({ task, run.number, "", 50, 0 });
+    server.holding = false;
+    this->scheduler->holdAnswered(id, server.heldSince, OrderStatus::Accepted, report);
+}
+
+void SchedulingLoad::advanceServers()
+{
+    const auto now = this->manual.now();
+    for (auto& [id, server] : this->servers) {
+        std::erase_if(server.running, [&](const auto& entry) {
+            if (entry.second.endsAt > now)
+                return false;
+            server.ended.push_back({ ++server.numbered, entry.first, entry.second.number, RunEnd::Done, "" });
+            return true;
+        });
+        if (server.holding && (!server.ended.empty() || now >= server.holdUntil))
+            this->answerHold(id, server);
+    }
+}
+
+void SchedulingLoad::store()
+{
+    const auto batch = this->scheduler->takeUnsaved(40);
+    this->scheduler->saved(batch, 1);
+}
+
+void SchedulingLoad::step()
+{
+    this->manual.advance(stepTime);
+    this->arrive();
+    while (!this->confirmations.empty()) {
+        const auto [server, task, run] = this->confirmations.front();
+        this->confirmations.pop_front();
+        this->scheduler->startAnswered(server, task, run, OrderStatus::Accepted);
+    }
+    this->advanceServers();
+    this->store();
+    this->scheduler->react();
+    if (this->manual.now().time_since_epoch() / stepTime % tickSteps == 0)
+        this->scheduler->tick();
+}
+
+std::size_t SchedulingLoad::openJobs() const
+{
+    std::size_t open = 0;
+    for (const auto& [id, job] : this->scheduler->jobs().all())
+        open += job->isOver() ? 0 : 1;
+    return open;
+}
+
+} // namespace waxwinglug::test
