Give the lead time to beat after an outage, and let a restarted lead return at once

Silence now counts from 0.7 s before the store's return. And a VM that finds its own name in the lead row knows that its earlier life has ended, so it does not wait 1.6 s for beats after all VMs lost power.

--- a/src/job/leadership.cpp
+++ b/src/job/leadership.cpp
@@ -40,6 +40,15 @@
 {
 }
 
+void Leadership::heardStore()
+{
+    const auto now = this->clock.now();
+    // No beat can be seen while the store is away, so that time says nothing about the lead.
+    if (now - this->heardAt > freshness)
+        this->beatSeenAt = std::max(this->beatSeenAt, now - this->times.silence + this->times.firstBeat);
+    this->heardAt = now;
+}
+
 void Leadership::observe(std::span<const StoredRow> rows)
 {
     this->heardStore();
@@ -57,6 +66,8 @@
             this->released = false;
             this->beatSeenAt = this->clock.now();
             const auto nonce = json.value("attempt", "");
+            this->endedWithOwnLife
+                = this->knownHolder == this->node && nonce != this->attempt && nonce != this->finishedAttempt;
             this->leading = !this->attempt.empty() && nonce == this->attempt && nonce != this->finishedAttempt;
             if (this->leading)
                 this->confirmedAt = this->clock.now();
@@ -85,7 +96,7 @@
     const auto now = this->clock.now();
     if (this->leading || this->taking || now < this->retryAt || !this->seenTable || now - this->heardAt > freshness)
         return false;
-    const bool vacant = this->knownFence == 0 || this->released;
+    const bool vacant = this->knownFence == 0 || this->released || this->endedWithOwnLife;
     if (this->isMuchLarger() && now - this->leadSeenAt >= this->times.settling + this->randomDelay)
         return true;
     return now - this->beatSeenAt >= (vacant ? Duration(0) : this->times.silence) + this->delay();
@@ -121,6 +132,7 @@
     ++this->knownFence;
     this->knownHolder = this->node;
     this->knownProcessor = this->processor;
+    this->endedWithOwnLife = false;
     this->leadSeenAt = this->clock.now();
     this->released = false;
     this->leading = true;
--- a/src/job/leadership.h
+++ b/src/job/leadership.h
@@ -21,6 +21,8 @@
     Duration beat { 400 };
     // A beat this old means that the lead is gone. Four beats, so that a lost answer or a slow store does not matter.
     Duration silence { 1600 };
+    // What a lead has for its first beat after the store was away; it tries to write several times a second then.
+    Duration firstBeat { 900 };
     // The lead starts nothing when its last confirmed transaction began longer ago than this; shorter than `silence`,
     // so that a lead that was paused has stopped before another one begins.
     Duration validity { 1300 };
@@ -51,7 +53,7 @@
     // Rows of the table, as a whole or as changes.
     void observe(std::span<const StoredRow> rows);
     // The store answered; without this a silent store would look like a silent lead.
-    void heardStore() { this->heardAt = this->clock.now(); }
+    void heardStore();
 
     bool leads() const { return this->leading; }
     // Number of the lead that is known to be the latest.
@@ -100,6 +102,7 @@
     std::string finishedAttempt; // an attempt that led and has ended
     std::uint64_t beats = 0;
     bool released = false;
+    bool endedWithOwnLife = false; // the lead was held by an earlier life of this VM
     TimePoint beatSeenAt;
     TimePoint heardAt;
     TimePoint confirmedAt;
