--- a/bench/scheduling-bench.cpp
+++ b/bench/scheduling-bench.cpp
@@ -11,12 +11,12 @@
     {
         test::SchedulingLoad load;
         load.setRate(static_cast<int>(state.range(0)));
-        for (int step = 0; step < 300; ++step)
+        for (int step = 0; step < 600; ++step)
             load.step();
         const auto starts = load.starts();
         const auto holds = load.holds();
         for (auto _ : state) {
-            for (int step = 0; step < 1000; ++step)
+            for (int step = 0; step < 2000; ++step)
                 load.step();
         }
         const auto started = static_cast<double>(load.starts() - starts);
--- a/src/io/process/job-gateway.cpp
+++ b/src/io/process/job-gateway.cpp
@@ -178,13 +178,12 @@
             const auto state = json.is_object() ? parsePhase(json.value("state", "")) : std::nullopt;
             if (!state)
                 return this->answer(exchange, 500, "", "the progress row cannot be read");
-            if (isFinal(*state))
-                return this->answer(exchange, 200, this->platform.formats.state(*state), phaseName(*state));
-            this->showPending(exchange);
+            // A cancellation that the lead has not seen yet shows when it has; the row says that the job is known.
+            this->answer(exchange, 200, this->platform.formats.state(*state), phaseName(*state));
         });
 }
 
-// The job has no final state in its progress row: it is unknown, cancelled, or under way.
+// The lead has recorded nothing of the job: it is unknown, cancelled, or waiting.
 void JobGateway::showPending(const ExchangePtr& exchange)
 {
     if (this->left(*exchange) < Duration(1))
--- a/src/io/process/lead-session.cpp
+++ b/src/io/process/lead-session.cpp
@@ -122,6 +122,7 @@
         this->listing = false;
         if (!machines)
             return this->hooks.log("the machine list does not answer", {});
+        this->jobScheduler.machinesListed(*machines);
         this->machineUpkeep.machinesListed(*machines);
         this->poolMover.machinesListed(*machines);
     }));
@@ -316,6 +317,7 @@
     this->hooks.log("lead begins",
         { { "fence", this->leadership.fence() }, { "jobs", this->jobScheduler.jobs().all().size() },
             { "servers", this->jobScheduler.servers().size() } });
+    this->listMachines();
     this->poke();
 }
 
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -222,19 +222,23 @@
 {
     std::vector<std::string> expired;
     const auto now = this->clock.now();
-    std::erase_if(this->ended, [&](Job* job) {
-        const bool old
-            = now - job->endedAt > this->rules.keepEnded && job->dirtyTicket == 0 && this->inFlightTicket == 0;
+    // In the order in which the jobs ended.
+    for (auto place = this->ended.begin(); place != this->ended.end() && expired.size() < most;) {
+        auto* job = *place;
+        if (now - job->endedAt <= this->rules.keepEnded)
+            break;
         const bool runs = std::ranges::any_of(this->serverMap, [job](const auto& entry) {
             return std::ranges::any_of(entry.second->runs, [job](const auto& run) { return run.second.job == job; });
         });
-        if (!old || runs || expired.size() >= most)
-            return false;
+        if (job->dirtyTicket != 0 || this->inFlightTicket != 0 || runs) {
+            ++place;
+            continue;
+        }
+        place = this->ended.erase(place);
         expired.push_back(job->spec.id);
         this->inheritedJobs.erase(job);
         this->jobTable.remove(expired.back());
-        return true;
-    });
+    }
     return expired;
 }
 
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -8,8 +8,10 @@
 
 #include "job/server-table.h"
 
+#include <waxwinglug/fleet-platform.h>
 #include <waxwinglug/log-field.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -79,6 +81,8 @@
     // A server that an earlier lead has used, whether it is listed or not.
     void addEnrolled(const ServerRecord& record);
     void removeServer(std::string_view id);
+    // What the platform says of its machines. Servers of earlier leads that live on none of them any more are gone.
+    void machinesListed(std::span<const MachineRecord> machines);
 
     // Answers to orders. `sentAt` is when the call began.
     void startAnswered(std::string_view server, const TaskId& task, int run, OrderStatus status);
@@ -237,7 +241,7 @@
     std::uint64_t issuedTickets = 0;
     // Ticket of the oldest change in the batch that is being stored; 0: none is.
     std::uint64_t inFlightTicket = 0;
-    std::vector<detail::Job*> ended;
+    std::deque<detail::Job*> ended;
     // Work of jobs that arrived lately, by service.
     struct Arrival {
         TimePoint at;
--- a/src/job/servers.cpp
+++ b/src/job/servers.cpp
@@ -91,19 +91,36 @@
     place->inherited = true;
 }
 
+// A machine that is up and names another server, or is under way, runs nothing of an earlier one.
+void JobScheduler::machinesListed(std::span<const MachineRecord> machines)
+{
+    for (const auto& machine : machines) {
+        const auto place = this->machineServers.find(machine.machine);
+        if (place == this->machineServers.end() || machine.state == MachineState::Down)
+            continue;
+        for (auto* server : place->second) {
+            if (!server->inherited || server->listed || server->gone || server->record.id == machine.server)
+                continue;
+            this->endLife(*server, "its machine runs another server");
+            server->gone = true;
+        }
+    }
+}
+
 std::vector<JobScheduler::Enrolment> JobScheduler::takeEnrolments(std::size_t most)
 {
     std::vector<Enrolment> changes;
     while (changes.size() < most && !this->discharged.empty()) {
-        // A server that answers again under its old id stays in use.
-        if (!this->serverMap.contains(this->discharged.back()))
+        // A server that answers again under its old id may be in use again.
+        const auto server = this->serverMap.find(this->discharged.back());
+        if (server == this->serverMap.end() || !server->second->enrolled)
             changes.push_back({ this->discharged.back(), std::nullopt });
         this->discharged.pop_back();
     }
     for (const auto& [id, server] : this->serverMap) {
         if (changes.size() >= most)
             break;
-        if (!server->enrolled && server->answered && server->listed)
+        if (!server->enrolled && server->reachable() && server->listed)
             changes.push_back({ id, server->record });
     }
     return changes;
@@ -212,7 +229,14 @@
     for (auto& [id, server] : this->serverMap) {
         if (server->inherited && inheritedLeasesOver)
             server->inherited = false;
-        if (server->runs.empty() || server->missedHolds == 0)
+        if (server->missedHolds == 0)
+            continue;
+        // The next lead need not wait for it. It is stored again before it gets its next task.
+        if (server->enrolled && !server->inherited && server->leaseSurelyOver(now)) {
+            server->enrolled = false;
+            this->discharged.push_back(id);
+        }
+        if (server->runs.empty())
             continue;
         if (server->leaseSurelyOver(now))
             this->loseRuns(*server, "its lease is over");
--- a/test/job/scheduler-test.cpp
+++ b/test/job/scheduler-test.cpp
@@ -347,4 +347,62 @@
     EXPECT_TRUE(this->scheduler->isCutOff());
 }
 
+// Guards against a next lead that waits for servers whose work this one has already given up: a rack without power
+// would stop all jobs of its service for as long as a lease may last.
+TEST_F(SchedulerTest, silentServerLeavesTheServersInUseWhenItsLeaseIsOver)
+{
+    this->addServer("s1");
+    this->addServer("s2");
+    this->outlastLease("s1");
+    const auto changes = this->scheduler->takeEnrolments(10);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes[0].server, "s1");
+    EXPECT_FALSE(changes[0].record.has_value());
+    this->scheduler->enrolled(changes);
+    EXPECT_TRUE(this->scheduler->takeEnrolments(10).empty());
+
+    this->answerHold("s1", {}, {});
+    this->scheduler->addJob(this->job("j1", this->step(8)), false);
+    this->scheduler->tick();
+    EXPECT_TRUE(std::ranges::none_of(this->starts, [](const auto& start) { return start.first == "s1"; }))
+        << "it is not in use again before that is stored";
+    const auto again = this->scheduler->takeEnrolments(10);
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_TRUE(again[0].record.has_value());
+    this->scheduler->enrolled(again);
+    this->scheduler->tick();
+    EXPECT_TRUE(std::ranges::any_of(this->starts, [](const auto& start) { return start.first == "s1"; }));
+}
+
+// Guards against a next lead that waits for servers that a move or maintenance has ended.
+TEST_F(SchedulerTest, machineListTellsWhichInheritedServersAreGone)
+{
+    this->scheduler->addEnrolled(this->record("old", "machine-1"));
+    this->scheduler->addEnrolled(this->record("cut", "machine-2"));
+    this->scheduler->machinesListed(std::vector<MachineRecord> {
+        { "machine-1", "spare", MachineState::Up, "", {} }, { "machine-2", "press", MachineState::Up, "cut", {} } });
+    this->scheduler->tick();
+    EXPECT_FALSE(this->scheduler->servers().contains("old"));
+    EXPECT_TRUE(this->scheduler->servers().contains("cut"));
+}
+
+// Guards against rows that are removed before their time, in bulk, or before the end of the job is stored.
+TEST_F(SchedulerTest, endedJobsExpireInTheOrderOfTheirEnds)
+{
+    for (const auto* id : { "j1", "j2", "j3" }) {
+        this->scheduler->addJob(this->job(id, this->step(1)), false);
+        this->scheduler->cancelJob(id);
+        if (id != std::string_view("j3"))
+            this->storeAll();
+        this->clock.advance(Duration(1000));
+    }
+    EXPECT_TRUE(this->scheduler->takeExpired(10).empty());
+    this->clock.advance(std::chrono::minutes(3) - Duration(2500));
+    EXPECT_EQ(this->scheduler->takeExpired(10), std::vector<std::string> { "j1" });
+    this->clock.advance(Duration(5000));
+    EXPECT_EQ(this->scheduler->takeExpired(10), std::vector<std::string> { "j2" }) << "the end of j3 is not stored";
+    this->storeAll();
+    EXPECT_EQ(this->scheduler->takeExpired(10), std::vector<std::string> { "j3" });
+}
+
 } // namespace waxwinglug
--- a/test/support/scheduling-load.cpp
+++ b/test/support/scheduling-load.cpp
@@ -6,9 +6,9 @@
 namespace waxwinglug::test {
 namespace {
 
-    constexpr Duration stepTime { 10 };
+    constexpr Duration stepTime { 5 };
     constexpr Duration turn { 4500 };
-    constexpr int tickSteps = 5; // the lead session ticks every 50 ms
+    constexpr int tickSteps = 10; // the lead ticks every 50 ms, and handles events every 5 ms
 
     std::string serviceName(int number) { return fmt::format("service-{}", number); }
 
@@ -145,8 +145,10 @@
     this->advanceServers();
     this->store();
     this->scheduler->react();
-    if (this->manual.now().time_since_epoch() / stepTime % tickSteps == 0)
+    if (this->manual.now().time_since_epoch() / stepTime % tickSteps == 0) {
         this->scheduler->tick();
+        this->scheduler->takeExpired(1);
+    }
 }
 
 std::size_t SchedulingLoad::openJobs() const
--- a/test/support/scheduling-load.h
+++ b/test/support/scheduling-load.h
@@ -23,7 +23,7 @@
 
     SchedulingLoad();
 
-    // Lets 10 ms pass: jobs arrive, tasks end, servers report, and changes are stored.
+    // Lets 5 ms pass: jobs arrive, tasks end, servers report, and changes are stored.
     void step();
 
     // Jobs that arrive a second on average over all queues.
