Count unknown runs for the teams that may have them, and wait less after a lead that has stopped

The 8 s cover a lead that goes on without the store; after one that was released or was this VM's earlier life, and had led for 12 s, 4.5 s are enough, and a VM that follows itself need not leave machines alone for 3 s.

Machines are neither moved nor maintained while the store fails: 28 were moved while it was away, and none of their new servers could be seen before it returned.

--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -30,6 +30,8 @@
     // Kept back from the grace for ending the process.
     constexpr Duration exitReserve { 700 };
     constexpr Duration takeDeadline { 800 };
+    // Delay of timers and answers that the estimate of a lease's end does not see.
+    constexpr Duration leaseSlack { 400 };
     // Each decision about a request or a task gets a line, and a lead starts several hundred tasks a second. A line
     // takes about 10 us of a core.
     constexpr int logLinesPerSecond = 400;
@@ -248,8 +250,12 @@
         rules.lease = std::min(rules.lease, this->settings.longestLease);
         rules.longestLease = this->settings.longestLease;
         UpkeepRules upkeepRules;
-        // The first lead of all has no predecessor whose orders it could cross.
-        upkeepRules.quietStart = rules.fence == 1 ? Duration(0) : this->settings.orderLease;
+        // Leases end a little late on a server whose clock is 2% slow.
+        if (this->leadership.predecessorStopped())
+            rules.inheritedLease = rules.lease * 102 / 100 + leaseSlack;
+        // The first lead of all has no predecessor whose orders it could cross, nor has one that follows itself.
+        const bool alone = rules.fence == 1 || this->leadership.predecessorWasSelf();
+        upkeepRules.quietStart = alone ? Duration(0) : this->settings.orderLease;
         upkeepRules.maintenanceTime = this->settings.maintenanceTime;
         LeadHooks hooks;
         hooks.ended = [this] { this->session.reset(); };
--- a/src/io/process/lead-session.cpp
+++ b/src/io/process/lead-session.cpp
@@ -370,7 +370,9 @@
         this->leadership.avoid(cutOffPause);
         return this->release();
     }
-    if (this->loaded && this->leadership.isValid()) {
+    // Without the store the servers that come after a move or maintenance are not seen, so machines stay where they
+    // are.
+    if (this->loaded && this->leadership.isValid() && this->leadership.storeAnswers()) {
         this->machineUpkeep.tick();
         this->poolMover.tick(*this->fleetConfig);
         this->storePoolSizes();
--- a/src/job/leadership.cpp
+++ b/src/job/leadership.cpp
@@ -62,6 +62,7 @@
             this->knownFence = json.value("fence", std::uint64_t(0));
             this->knownHolder = json.value("node", "");
             this->knownProcessor = json.value("processor", 0);
+            this->knownSince = WallTime(Duration(json.value("since", std::int64_t(0))));
             this->leadSeenAt = this->clock.now();
             this->released = false;
             this->beatSeenAt = this->clock.now();
@@ -105,13 +106,16 @@
 RowTransaction Leadership::take()
 {
     this->taking = true;
+    const bool wasLong = this->clock.wallNow() - this->knownSince >= this->times.longLead;
+    this->afterStopped = wasLong && (this->released || this->endedWithOwnLife);
+    this->afterSelf = wasLong && this->endedWithOwnLife;
     this->attempt = fmt::format("{}-{}", this->node, this->random());
     const auto fence = this->knownFence + 1;
     RowTransaction transaction;
     transaction.conditions.push_back({ rowName(leadKey), this->leadVersion });
     transaction.writes.push_back({ rowName(leadKey),
-        Json {
-            { "fence", fence }, { "node", this->node }, { "processor", this->processor }, { "attempt", this->attempt } }
+        Json { { "fence", fence }, { "node", this->node }, { "processor", this->processor },
+            { "since", this->clock.wallNow().time_since_epoch().count() }, { "attempt", this->attempt } }
             .dump() });
     this->beatSentAt = this->clock.now();
     return transaction;
@@ -131,6 +135,7 @@
     this->leadVersion = result.version;
     ++this->knownFence;
     this->knownHolder = this->node;
+    this->knownSince = this->clock.wallNow();
     this->knownProcessor = this->processor;
     this->endedWithOwnLife = false;
     this->leadSeenAt = this->clock.now();
--- a/src/job/leadership.h
+++ b/src/job/leadership.h
@@ -32,6 +32,9 @@
     // A VM waits this much longer, times the share of processor that it lacks against the last lead, so that a VM that
     // can carry the work takes the lead first. Several times the interval at which VMs look whether to take it.
     Duration smallVmDelay { 400 };
+    // After a lead of this length nothing that an earlier one has ordered is still in force: it goes on for 5 s without
+    // the store, and its leases for 4 s more. The clocks of two VMs may be seconds apart.
+    Duration longLead { 12'000 };
     // How long a lead has worked before a larger VM takes over from it; long enough to have loaded everything.
     Duration settling { 2000 };
     // Pause after an attempt to take the lead that failed, at most twice this. All VMs try, and a slow store that is
@@ -64,6 +67,12 @@
     RowTransaction take();
     void takeAnswered(const TransactionResult& result);
 
+    // The lead before this one has stopped for certain, and it had led long enough for the leases of earlier ones to
+    // end.
+    bool predecessorStopped() const { return this->afterStopped; }
+    // It was an earlier life of this VM, and had led so long.
+    bool predecessorWasSelf() const { return this->afterSelf; }
+
     // Part of every transaction of the lead.
     RowCondition condition() const;
     bool beatIsDue() const;
@@ -72,6 +81,8 @@
     void confirmed(TimePoint sentAt);
     // A transaction of the lead was refused by a failing store, or not answered.
     void storeFailed() { this->failedAt = this->clock.now(); }
+    // The latest transaction of the lead was committed.
+    bool storeAnswers() const { return this->failedAt <= this->confirmedAt; }
     // True while tasks may be started: no other VM can have taken the lead, or backend servers would tell.
     bool isValid() const;
     // True while running work is still kept alive.
@@ -97,6 +108,9 @@
     std::uint64_t knownFence = 0;
     std::string knownHolder;
     int knownProcessor = 0; // of the holder; 0: unknown
+    WallTime knownSince {}; // when the holder took the lead, by its clock
+    bool afterStopped = false;
+    bool afterSelf = false;
     TimePoint leadSeenAt; // when the holder was first seen
     std::string attempt; // nonce of the last attempt to take the lead
     std::string finishedAttempt; // an attempt that led and has ended
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -28,6 +28,9 @@
         FillingRank,
     };
 
+    constexpr std::string_view teamIsFull = "the team is at its limit";
+    constexpr std::string_view noServerHasRoom = "no server has room";
+    constexpr Duration waitLogInterval { 1000 };
     // A report older than this says nothing about what runs now; one is due each second.
     constexpr Duration reportAge { 1500 };
     // Jobs that end after this multiple of their allowed time earn nothing more by ending sooner.
@@ -41,6 +44,21 @@
         return label.empty() || std::ranges::find(server.labels, label) != server.labels.end();
     }
 
+    // What the tasks need together that no known run has. Steps that are not ready by what is stored are included,
+    // because ends may have been seen and not stored.
+    Resources unaccountedNeed(const Job& job)
+    {
+        Resources sum;
+        for (const auto& [number, occurrence] : job.open) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& need = job.spec.steps[step].need;
+                const auto tasks = occurrence.steps[step].waiting;
+                sum += { need.cpu * tasks, need.memory * tasks, need.accelerators * tasks };
+            }
+        }
+        return sum;
+    }
+
     bool isServing(const Run& run)
     {
         return run.job->spec.steps[static_cast<std::size_t>(run.step)].latencyTarget > Duration(0);
@@ -50,16 +68,43 @@
 
 } // namespace
 
+void JobScheduler::noteWait(const ReadyStep& ready, std::string_view reason)
+{
+    this->waits[{ ready.job->service, ready.job->spec.team, reason }] += ready.occurrence->steps[ready.step].waiting;
+}
+
+// One line a second for each reason, because the tasks themselves are too many.
+void JobScheduler::logWaits()
+{
+    const auto now = this->clock.now();
+    if (now - this->waitsLoggedAt < waitLogInterval)
+        return;
+    this->waitsLoggedAt = now;
+    for (const auto& [key, tasks] : this->waits) {
+        const auto& [service, team, reason] = key;
+        const auto use = this->teamUse.find(team);
+        const auto unknown = this->unknownUse.find(team);
+        this->hooks.log("tasks wait",
+            { { "service", service }, { "team", team }, { "reason", reason }, { "tasks", tasks },
+                { "team_cpu", use == this->teamUse.end() ? 0 : use->second.cpu },
+                { "unknown_cpu", unknown == this->unknownUse.end() ? 0 : unknown->second.cpu } });
+    }
+}
+
 void JobScheduler::dispatch(bool all)
 {
     if (!this->hooks.mayStart())
         return;
+    if (all)
+        this->waits.clear();
     const auto changed = std::exchange(this->touched, {});
     this->unknownUse = this->inheritedUse();
     for (const auto& [service, jobs] : this->activeJobs) {
         if (!service.empty() && !jobs.empty() && (all || changed.contains(service)))
             this->dispatchService(service);
     }
+    if (all)
+        this->logWaits();
 }
 
 bool JobScheduler::isUsable(const Server& server) const
@@ -119,13 +164,15 @@
     const bool unknownRuns = this->inheritsUnknownRuns(service);
     const auto standings = this->rankOccurrences(service);
     for (auto* job : this->activeJobs.at(service)) {
-        if (unknownRuns && this->inheritedJobs.contains(job))
-            continue;
         for (auto& [number, occurrence] : job->open) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& progress = occurrence.steps[step];
                 if (progress.waiting == 0 || !occurrence.isReady(job->spec, step))
                     continue;
+                if (unknownRuns && this->inheritedJobs.contains(job)) {
+                    this->noteWait({ job, &occurrence, step, 0, 0 }, "servers of the last lead have not answered");
+                    continue;
+                }
                 Standing standing { job->spec.steps[step].fills ? FillingRank : LastingRank, 0 };
                 if (const auto found = standings.find(&occurrence); found != standings.end())
                     standing = found->second;
@@ -160,15 +207,29 @@
     }
 }
 
-// Servers of the previous lead that have not answered may be full of any one team's tasks.
-Resources JobScheduler::inheritedUse() const
+// Servers of the previous lead that have not answered may run any task of a job that was stored before, cancelled ones
+// included, as far as they have room.
+std::map<std::string, Resources> JobScheduler::inheritedUse() const
 {
-    Resources most;
+    std::map<std::string, Resources> most;
     if (this->clock.now() - this->begunAt > this->rules.inheritedLease)
         return most;
+    std::map<std::string, Resources> rooms; // by service
     for (const auto& [id, server] : this->serverMap) {
         if (server->inherited)
-            most += server->record.capacity;
+            rooms[server->record.service] += server->record.capacity;
+    }
+    if (rooms.empty())
+        return most;
+    std::map<std::pair<std::string, std::string>, Resources> needs; // by service and team
+    for (const auto* job : this->inheritedJobs) {
+        if (rooms.contains(job->service))
+            needs[{ job->service, job->spec.team }] += unaccountedNeed(*job);
+    }
+    for (const auto& [key, need] : needs) {
+        const auto& room = rooms.at(key.first);
+        most[key.second] += { std::min(need.cpu, room.cpu), std::min(need.memory, room.memory),
+            std::min(need.accelerators, room.accelerators) };
     }
     return most;
 }
@@ -179,7 +240,9 @@
     if (!team)
         return true;
     const auto use = this->teamUse.find(job.spec.team);
-    const auto total = (use == this->teamUse.end() ? Resources {} : use->second) + need + this->unknownUse;
+    const auto unknown = this->unknownUse.find(job.spec.team);
+    const auto total = (use == this->teamUse.end() ? Resources {} : use->second) + need
+        + (unknown == this->unknownUse.end() ? Resources {} : unknown->second);
     const auto within = [](std::int64_t amount, std::int64_t limit) { return limit == 0 || amount <= limit; };
     return within(total.cpu, team->limit.cpu) && within(total.memory, team->limit.memory)
         && within(total.accelerators, team->limit.accelerators);
@@ -196,10 +259,10 @@
         if (task.phase != TaskPhase::Waiting || task.notBefore > now)
             continue;
         if (!this->teamHasRoom(job, need))
-            return;
+            return this->noteWait(ready, teamIsFull);
         auto* server = this->chooseServer(ready, task, candidates, {});
         if (!server)
-            return;
+            return this->noteWait(ready, noServerHasRoom);
         this->startTask(job, *ready.occurrence, ready.step, index, *server, this->nextRun({ &task, 1 }));
     }
 }
@@ -218,13 +281,13 @@
     for (int count = 0; count < spec.count; ++count)
         all += spec.need;
     if (!this->teamHasRoom(job, all))
-        return;
+        return this->noteWait(ready, teamIsFull);
     std::map<const Server*, Resources> planned;
     std::vector<Server*> chosen;
     for (const auto& task : step.tasks) {
         auto* server = this->chooseServer(ready, task, candidates, planned);
         if (!server)
-            return;
+            return this->noteWait(ready, noServerHasRoom);
         planned[server] += roomNeeded(spec);
         chosen.push_back(server);
     }
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -20,6 +20,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -211,6 +212,8 @@
     void forgetArrivals();
 
     // placement.cpp
+    void noteWait(const ReadyStep& ready, std::string_view reason);
+    void logWaits();
     void dispatch(bool all);
     void dispatchService(const std::string& service);
     void placeStep(const ReadyStep& ready, std::span<detail::Server* const> candidates);
@@ -220,7 +223,7 @@
     detail::Server* chooseServer(const ReadyStep& ready, const detail::Task& task,
         std::span<detail::Server* const> candidates, const std::map<const detail::Server*, Resources>& planned) const;
     bool isUsable(const detail::Server& server) const;
-    Resources inheritedUse() const;
+    std::map<std::string, Resources> inheritedUse() const;
     bool teamHasRoom(const detail::Job& job, const Resources& need) const;
     bool inheritsUnknownRuns(const std::string& service) const;
     bool canSpare(const detail::Run& run) const;
@@ -239,8 +242,11 @@
     std::map<std::string, std::set<detail::Job*>> activeJobs;
     std::set<const detail::Job*> inheritedJobs;
     std::map<std::string, Resources> teamUse;
-    // The most that may run on servers that have not answered yet, as of the latest dispatch.
-    Resources unknownUse;
+    // Tasks that could not start in the latest look at everything, by service, team and reason.
+    std::map<std::tuple<std::string, std::string, std::string_view>, int> waits;
+    TimePoint waitsLoggedAt;
+    // The most that each team may run on servers that have not answered yet, as of the latest dispatch.
+    std::map<std::string, Resources> unknownUse;
     // Services in which a task may be able to start since the last dispatch.
     std::set<std::string> touched;
     // Changed jobs in the order of their first change that is not stored.
--- a/test/job/leadership-test.cpp
+++ b/test/job/leadership-test.cpp
@@ -221,4 +221,30 @@
     EXPECT_TRUE(small.shouldTake()) << "when no larger VM takes it";
 }
 
+// Guards against a wait of seconds for leases that are over, and against none while an earlier lead may still hold
+// some.
+TEST_F(TwoNodes, aLeadKnowsWhetherTheOneBeforeItHasStopped)
+{
+    this->firstLeads();
+    this->clock.advance(Duration(5000));
+    Leadership early { {}, this->clock.clock(), "first", 250, this->random };
+    this->hear(early);
+    early.take();
+    EXPECT_FALSE(early.predecessorStopped()) << "it has not led for long; one before it may still hold leases";
+    this->clock.advance(Duration(10'000));
+    Leadership again { {}, this->clock.clock(), "first", 250, this->random };
+    this->hear(again);
+    again.take();
+    EXPECT_TRUE(again.predecessorStopped());
+    EXPECT_TRUE(again.predecessorWasSelf());
+    this->hear(this->second);
+    this->second.take();
+    EXPECT_FALSE(this->second.predecessorStopped()) << "it may only be silent";
+    this->beat(true);
+    this->hear(this->second);
+    this->second.take();
+    EXPECT_TRUE(this->second.predecessorStopped());
+    EXPECT_FALSE(this->second.predecessorWasSelf());
+}
+
 } // namespace waxwinglug
--- a/test/job/scheduler-test.cpp
+++ b/test/job/scheduler-test.cpp
@@ -484,4 +484,33 @@
     EXPECT_EQ(this->starts.size(), 1U);
 }
 
+// Load: a lead is lost while many servers are silent. Guards against teams that wait for seconds because servers which
+// have not answered might run the tasks of others.
+TEST_F(SchedulerTest, unknownRunsCountOnlyForTeamsThatMayHaveThem)
+{
+    this->begin(2);
+    FleetConfig fleet;
+    fleet.queues.push_back({ "cards", "", "", "press", 0, 2, 2, Duration(500), false, false });
+    fleet.services.push_back({ "press", false, false });
+    fleet.teams.push_back({ "north", { "n" }, 1, { 3000, 0, 0 } });
+    fleet.teams.push_back({ "south", { "s" }, 1, { 3000, 0, 0 } });
+    this->scheduler->setConfig(std::make_shared<FleetConfig>(fleet));
+    auto old = this->job("old", this->step(3));
+    old.team = "north";
+    this->scheduler->addJob(old, true);
+    this->scheduler->addEnrolled(this->record("cut"));
+    this->addServer("s1");
+    for (const auto* team : { "north", "south" }) {
+        auto fresh = this->job(std::string("new-") + team, this->step(1));
+        fresh.team = team;
+        this->scheduler->addJob(fresh, false);
+    }
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 1U);
+    EXPECT_EQ(this->starts[0].second.task.job, "new-south");
+    this->clock.advance(Duration(9000));
+    this->scheduler->tick();
+    EXPECT_EQ(this->starts.size(), 4U) << "then all leases are over, and team north has 3 of 3 cores";
+}
+
 } // namespace waxwinglug
