Let a new lead move machines that were not moved lately

Two VMs may not give orders for one machine within 3 s. A move or maintenance begins a new life of the server, so the age of the server tells that the earlier lead ordered nothing lately: such machines may move 1 s after the change, when the earlier lead has seen it; standby machines, of which nothing tells, after 3 s.

--- a/src/job/pool-mover.cpp
+++ b/src/job/pool-mover.cpp
@@ -14,6 +14,10 @@
     constexpr Duration orderRepeat { 2000 };
     // A refused order is not repeated earlier than this.
     constexpr Duration refusedPause { 500 };
+    // An earlier lead that works sees within this time that it has lost the lead; one poll of the store takes 0.5 s.
+    constexpr Duration earlierLeadStops { 1000 };
+    // A move takes about 1.5 s after its order, and the clocks of servers and VMs may differ by a second or two.
+    constexpr Duration settlingSlack { 4000 };
     // A machine that has not arrived after this time is looked at afresh.
     constexpr Duration longestMove { 8000 };
 
@@ -48,7 +52,7 @@
         this->askedAt = now;
         this->hooks.listMachines();
     }
-    if (now - this->begunAt < this->quietStart || this->listedAt == TimePoint {})
+    if (now - this->begunAt < std::min(this->quietStart, earlierLeadStops) || this->listedAt == TimePoint {})
         return;
     this->followMoves();
     this->startMoves(config);
@@ -75,8 +79,15 @@
     }
 }
 
+// A move or maintenance begins a new life, so the start of the life shows that there was none lately.
+bool PoolMover::isLongSettled(const detail::Server* server) const
+{
+    return server && this->clock.wallNow() - server->record.startedAt > this->quietStart + settlingSlack;
+}
+
 void PoolMover::startMoves(const FleetConfig& config)
 {
+    const bool quiet = this->clock.now() - this->begunAt < this->quietStart;
     std::vector<PoolDemand> demands;
     demands.reserve(config.services.size());
     for (const auto& service : config.services)
@@ -100,6 +111,7 @@
             machine.movable
                 = record.state == MachineState::Up && record.server.empty() && !this->hooks.inMaintenance(name);
         }
+        machine.movable = machine.movable && (!quiet || this->isLongSettled(server));
         machines.push_back(std::move(machine));
     }
     for (const auto& move : this->balance.decide(demands, machines, this->clock.now())) {
--- a/src/job/pool-mover.h
+++ b/src/job/pool-mover.h
@@ -25,7 +25,8 @@
 
 class PoolMover {
 public:
-    // A new lead orders nothing before `quietStart` has passed, like maintenance.
+    // Until `quietStart` has passed, a new lead moves only machines whose server has lived so long that the earlier
+    // lead has ordered nothing for them lately.
     PoolMover(JobScheduler& scheduler, PoolRules rules, Duration quietStart, Clock clock, PoolMoverHooks hooks);
 
     std::map<std::string, int> firstSizes() const { return this->balance.firstSizes(); }
@@ -44,6 +45,7 @@
         TimePoint repeatAt;
     };
 
+    bool isLongSettled(const detail::Server* server) const;
     void followMoves();
     void startMoves(const FleetConfig& config);
     void order(const std::string& machine, Move& move);
--- /dev/null
+++ b/test/job/pool-mover-test.cpp
@@ -0,0 +1,96 @@
+#include "job/pool-mover.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace waxwinglug {
+namespace {
+
+    constexpr Duration quiet { 3000 };
+
+    // Two pools of four machines and two machines on standby; the queue of "press" has more work than its pool can do.
+    struct PoolMoverTest : testing::Test {
+        ManualClock clock;
+        FleetConfig config;
+        std::unique_ptr<JobScheduler> scheduler;
+        std::unique_ptr<PoolMover> mover;
+        std::vector<std::string> orders;
+        std::vector<MachineRecord> machines;
+
+        void SetUp() override
+        {
+            JobSchedulerHooks hooks;
+            hooks.mayStart = [] { return false; };
+            hooks.hold = [](const ServerRecord&, const HoldOrder&) {};
+            hooks.log = [](std::string_view, std::initializer_list<LogField>) {};
+            this->scheduler = std::make_unique<JobScheduler>(JobSchedulerRules { 2 }, this->clock.clock(), hooks);
+            this->config.queues.push_back({ "cards", "", "", "press", 0, 2, 2, Duration(500), false, false });
+            for (const auto* service : { "press", "sheets" })
+                this->config.services.push_back({ service, false, false });
+            this->config.services.push_back({ "spare", false, true });
+            this->scheduler->setConfig(std::make_shared<FleetConfig>(this->config));
+            PoolMoverHooks moves;
+            moves.order = [this](const std::string& machine, const std::string&) { this->orders.push_back(machine); };
+            moves.listMachines = [this] { this->mover->machinesListed(this->machines); };
+            moves.inMaintenance = [](const std::string&) { return false; };
+            moves.log = hooks.log;
+            this->mover = std::make_unique<PoolMover>(
+                *this->scheduler, PoolRules {}, quiet, this->clock.clock(), std::move(moves));
+            for (int number = 0; number < 4; ++number) {
+                this->addServer("press", number, std::chrono::minutes(1));
+                this->addServer("sheets", number, number == 0 ? Duration(2000) : std::chrono::minutes(1));
+            }
+            for (const auto* name : { "spare0", "spare1" })
+                this->machines.push_back({ name, "spare", MachineState::Up, "", { 4000, 4000, 0 } });
+        }
+
+        void addServer(const std::string& service, int number, Duration age)
+        {
+            ServerRecord record;
+            record.id = fmt::format("{}-server{}", service, number);
+            record.service = service;
+            record.machine = fmt::format("{}{}", service, number);
+            record.capacity = { 4000, 4000, 0 };
+            record.startedAt = this->clock.clock().wallNow() - age;
+            this->scheduler->addServer(record);
+            this->scheduler->holdAnswered(record.id, this->clock.now(), OrderStatus::Accepted, {});
+            this->machines.push_back({ record.machine, service, MachineState::Up, record.id, record.capacity });
+        }
+
+        void addWork()
+        {
+            JobSpec job;
+            job.id = "large";
+            job.queue = "cards";
+            job.acceptedAt = this->clock.clock().wallNow();
+            job.steps.resize(1);
+            job.steps[0].count = 40;
+            job.steps[0].need = { 1000, 1000, 0 };
+            job.steps[0].estimate = Duration(1000);
+            this->scheduler->addJob(job, false);
+        }
+
+        bool isOrdered(const std::string& machine) const { return std::ranges::count(this->orders, machine) > 0; }
+    };
+
+} // namespace
+
+// Guards against orders of two VMs for one machine within a short time, and against a peak that waits 3 s for machines
+// because the lead has just changed.
+TEST_F(PoolMoverTest, newLeadMovesAtFirstOnlyMachinesThatWereNotMovedLately)
+{
+    this->addWork();
+    this->mover->tick(this->config);
+    EXPECT_TRUE(this->orders.empty()) << "the earlier lead may not have seen yet that it lost the lead";
+    this->clock.advance(Duration(1100));
+    this->mover->tick(this->config);
+    EXPECT_FALSE(this->orders.empty());
+    EXPECT_FALSE(this->isOrdered("sheets0")) << "its server is 3 s old, so a move has just ended";
+    EXPECT_FALSE(this->isOrdered("spare0")) << "nothing tells when it came there";
+    this->clock.advance(Duration(2000));
+    this->mover->tick(this->config);
+    EXPECT_TRUE(this->isOrdered("spare0"));
+}
+
+} // namespace waxwinglug
