Share what the scheduler's parts had written twice, and count waiting tasks only for the log

Found when the change was read again; behaviour stays as it is, with one exception below.

- Maintenance and moves each kept a copy of the machine list; they share one (machine-list.h).
- The servers of a machine, the step and progress of a run, the name of a task in log lines, the end of a server for good, and rows that cannot be read each had the same lines in several places.
- How long a lead waits after one that has stopped was worked out in fleet-node beside a second figure for slow clocks; it is a rule of the scheduler and uses the clock rate of server-table.h.
Exception: the wait is 4481 ms instead of 4480.
- A wave looks for machines to empty only when it may empty more; lease ends are worked out once a tick.
- Names that shadowed members, and a storeAnswers() beside another one of a different meaning.

Tests: fixtures follow the constructors, and share the answer to several orders; assertions are the same.

--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -30,8 +30,6 @@
     // Kept back from the grace for ending the process.
     constexpr Duration exitReserve { 700 };
     constexpr Duration takeDeadline { 800 };
-    // Delay of timers and answers that the estimate of a lease's end does not see.
-    constexpr Duration leaseSlack { 400 };
     // Each decision about a request or a task gets a line, and a lead starts several hundred tasks a second. A line
     // takes about 10 us of a core.
     constexpr int logLinesPerSecond = 400;
@@ -141,15 +139,15 @@
         this->callers = std::make_unique<CallerServer>(this->context, this->settings.callers, CallerLimits {},
             this->serverHooks(
                 [this](auto request, auto respond) { this->gateway.handle(std::move(request), std::move(respond)); }));
-        const auto health = [this](const HttpRequest&, const Respond& respond) {
+        const auto answerHealth = [this](const HttpRequest&, const Respond& respond) {
             respond({ this->isReady() ? 200 : 503, {}, "" });
         };
         this->health = std::make_unique<CallerServer>(
-            this->context, this->settings.health, CallerLimits {}, this->serverHooks(health));
-        const auto operators
+            this->context, this->settings.health, CallerLimits {}, this->serverHooks(answerHealth));
+        const auto answerOperators
             = [this](const HttpRequest& request, const Respond& respond) { respond(this->answerOperator(request)); };
         this->operators = std::make_unique<CallerServer>(
-            this->context, this->settings.operators, CallerLimits {}, this->serverHooks(operators));
+            this->context, this->settings.operators, CallerLimits {}, this->serverHooks(answerOperators));
     }
 
     HttpResponse answerOperator(const HttpRequest& request)
@@ -253,11 +251,8 @@
         rules.lease = std::min(rules.lease, this->settings.longestLease);
         rules.longestLease = this->settings.longestLease;
         UpkeepRules upkeepRules;
-        // Leases end a little late on a server whose clock is 2% slow.
-        if (this->leadership.predecessorStopped()) {
-            rules.earlierStarts = Duration(0);
-            rules.inheritedLease = rules.lease * 102 / 100 + leaseSlack;
-        }
+        if (this->leadership.predecessorStopped())
+            rules.followStoppedLead();
         // The first lead of all has no predecessor whose orders it could cross, nor has one that follows itself.
         const bool alone = rules.fence == 1 || this->leadership.predecessorWasSelf();
         upkeepRules.quietStart = alone ? Duration(0) : this->settings.orderLease;
--- a/src/io/process/lead-session.cpp
+++ b/src/io/process/lead-session.cpp
@@ -35,8 +35,8 @@
     , clock(source)
     , hooks(std::move(leadHooks))
     , jobScheduler(rules, source, this->schedulerHooks())
-    , machineUpkeep(this->jobScheduler, upkeepRules, source, this->upkeepHooks())
-    , poolMover(this->jobScheduler, PoolRules {}, upkeepRules.quietStart, source, this->moverHooks())
+    , machineUpkeep(this->jobScheduler, this->machineList, upkeepRules, source, this->upkeepHooks())
+    , poolMover(this->jobScheduler, this->machineList, PoolRules {}, upkeepRules.quietStart, source, this->moverHooks())
     , fleetConfig(config)
     , ticker(io)
     , reactor(io)
@@ -131,8 +131,7 @@
                 return this->hooks.log("the machine list does not answer", {});
             this->jobScheduler.machinesListed(*machines, askedAt);
             this->poke();
-            this->machineUpkeep.machinesListed(*machines);
-            this->poolMover.machinesListed(*machines);
+            this->machineList.replace(*machines, this->clock.now());
         }));
 }
 
@@ -259,28 +258,31 @@
     this->poke();
 }
 
-void LeadSession::onProgress(std::span<const StoredRow> rows)
+// A row that cannot be read is logged and left out.
+void LeadSession::readEach(
+    std::span<const StoredRow> rows, std::string_view problem, const std::function<void(const StoredRow&)>& read)
 {
     for (const auto& row : rows) {
         try {
-            this->jobScheduler.loadProgress(row.name.key, row.value, row.version);
+            read(row);
         } catch (const Error& error) {
-            this->hooks.log("progress row cannot be read", { { "key", row.name.key }, { "problem", error.what() } });
+            this->hooks.log(problem, { { "key", row.name.key }, { "problem", error.what() } });
         }
     }
+}
+
+void LeadSession::onProgress(std::span<const StoredRow> rows)
+{
+    this->readEach(rows, "progress row cannot be read",
+        [this](const StoredRow& row) { this->jobScheduler.loadProgress(row.name.key, row.value, row.version); });
     this->progressLoaded = true;
     this->finishLoading();
 }
 
 void LeadSession::onEnrolled(std::span<const StoredRow> rows)
 {
-    for (const auto& row : rows) {
-        try {
-            this->jobScheduler.addEnrolled(fromJson<ServerRecord>(row.value));
-        } catch (const Error& error) {
-            this->hooks.log("server in use cannot be read", { { "key", row.name.key }, { "problem", error.what() } });
-        }
-    }
+    this->readEach(rows, "server in use cannot be read",
+        [this](const StoredRow& row) { this->jobScheduler.addEnrolled(fromJson<ServerRecord>(row.value)); });
     this->enrolledLoaded = true;
     this->finishLoading();
 }
@@ -372,7 +374,7 @@
     }
     // Without the store the servers that come after a move or maintenance are not seen, so machines stay where they
     // are.
-    if (this->loaded && this->leadership.isValid() && this->leadership.storeAnswers()) {
+    if (this->loaded && this->leadership.isValid() && this->leadership.lastWasCommitted()) {
         this->machineUpkeep.tick();
         this->poolMover.tick(*this->fleetConfig);
         this->storePoolSizes();
--- a/src/io/process/lead-session.h
+++ b/src/io/process/lead-session.h
@@ -69,6 +69,8 @@
     void listMachines();
     void onJobs(std::span<const StoredRow> rows, bool whole);
     void onServers(std::span<const StoredRow> rows, bool whole);
+    void readEach(
+        std::span<const StoredRow> rows, std::string_view problem, const std::function<void(const StoredRow&)>& read);
     void onProgress(std::span<const StoredRow> rows);
     void onEnrolled(std::span<const StoredRow> rows);
     void onUpkeep(std::span<const StoredRow> rows);
@@ -92,6 +94,7 @@
     const Clock clock;
     const LeadHooks hooks;
     JobScheduler jobScheduler;
+    MachineList machineList;
     Upkeep machineUpkeep;
     PoolMover poolMover;
     std::shared_ptr<const FleetConfig> fleetConfig;
--- a/src/job/leadership.cpp
+++ b/src/job/leadership.cpp
@@ -164,8 +164,7 @@
 bool Leadership::isValid() const
 {
     const auto age = this->clock.now() - this->confirmedAt;
-    const bool failing = this->failedAt > this->confirmedAt;
-    return this->leading && age < (failing ? this->times.withoutStore : this->times.validity);
+    return this->leading && age < (this->lastWasCommitted() ? this->times.validity : this->times.withoutStore);
 }
 
 bool Leadership::mayHold() const
--- a/src/job/leadership.h
+++ b/src/job/leadership.h
@@ -84,7 +84,7 @@
     // A transaction of the lead was refused by a failing store, or not answered.
     void storeFailed() { this->failedAt = this->clock.now(); }
     // The latest transaction of the lead was committed.
-    bool storeAnswers() const { return this->failedAt <= this->confirmedAt; }
+    bool lastWasCommitted() const { return this->failedAt <= this->confirmedAt; }
     // True while tasks may be started: no other VM can have taken the lead, or backend servers would tell.
     bool isValid() const;
     // True while running work is still kept alive.
--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -11,6 +11,7 @@
 using detail::Server;
 using detail::Task;
 using detail::TaskPhase;
+using detail::taskText;
 
 namespace {
 
@@ -64,9 +65,8 @@
     const auto until = server.clockAt(now) + this->rules.startValidity.count();
     server.leaseUntil = std::max(server.leaseUntil, until);
     this->hooks.log("task started",
-        { { "job", job.spec.id }, { "task", fmt::format("{}.{}.{}", id.occurrence, id.step, id.index) }, { "run", run },
-            { "server", server.record.id }, { "report_age_ms", (now - server.reportAt).count() },
-            { "free_cpu", server.free().cpu } });
+        { { "job", job.spec.id }, { "task", taskText(id) }, { "run", run }, { "server", server.record.id },
+            { "report_age_ms", (now - server.reportAt).count() }, { "free_cpu", server.free().cpu } });
     this->hooks.start(
         server.record, { id, run, job.spec.command, until, this->rules.fence, task.checkpoint, std::string() });
 }
@@ -99,8 +99,8 @@
         return;
     }
     this->hooks.log("start was not confirmed",
-        { { "job", id.job }, { "task", fmt::format("{}.{}.{}", id.occurrence, id.step, id.index) },
-            { "run", runNumber }, { "server", serverId }, { "status", statusName(status) } });
+        { { "job", id.job }, { "task", taskText(id) }, { "run", runNumber }, { "server", serverId },
+            { "status", statusName(status) } });
     if (status == OrderStatus::Unknown) {
         setPhase(step, task, TaskPhase::Doubtful);
         task.confirmedAt = now;
@@ -121,12 +121,11 @@
     auto& task = *run.task;
     if (task.phase == TaskPhase::Stopping)
         return;
-    auto& step = run.job->open.at(run.occurrence).steps[static_cast<std::size_t>(run.step)];
-    setPhase(step, task, TaskPhase::Stopping);
+    setPhase(run.progress(), task, TaskPhase::Stopping);
     task.stopConfirmed = false;
     this->hooks.log("task is stopped",
-        { { "job", id.job }, { "task", fmt::format("{}.{}.{}", id.occurrence, id.step, id.index) },
-            { "run", run.number }, { "server", server.record.id }, { "reason", reason } });
+        { { "job", id.job }, { "task", taskText(id) }, { "run", run.number }, { "server", server.record.id },
+            { "reason", reason } });
     this->sendStop(server, id, run);
 }
 
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -62,28 +62,24 @@
         return sum;
     }
 
-    bool isServing(const Run& run)
-    {
-        return run.job->spec.steps[static_cast<std::size_t>(run.step)].latencyTarget > Duration(0);
-    }
+    bool isServing(const Run& run) { return run.spec().latencyTarget > Duration(0); }
 
-    bool isFilling(const Run& run) { return run.job->spec.steps[static_cast<std::size_t>(run.step)].fills; }
+    bool isFilling(const Run& run) { return run.spec().fills; }
 
 } // namespace
 
 void JobScheduler::noteWait(const ReadyStep& ready, std::string_view reason)
 {
-    this->waits[{ ready.job->service, ready.job->spec.team, reason }] += ready.occurrence->steps[ready.step].waiting;
+    if (!this->notesWaits)
+        return;
+    this->waitCounts[{ ready.job->service, ready.job->spec.team, reason }]
+        += ready.occurrence->steps[ready.step].waiting;
 }
 
 // One line a second for each reason, because the tasks themselves are too many.
 void JobScheduler::logWaits()
 {
-    const auto now = this->clock.now();
-    if (now - this->waitsLoggedAt < waitLogInterval)
-        return;
-    this->waitsLoggedAt = now;
-    for (const auto& [key, tasks] : this->waits) {
+    for (const auto& [key, tasks] : std::exchange(this->waitCounts, {})) {
         const auto& [service, team, reason] = key;
         const auto use = this->teamUse.find(team);
         const auto unknown = this->unknownUse.find(team);
@@ -98,16 +94,18 @@
 {
     if (!this->hooks.mayStart())
         return;
-    if (all)
-        this->waits.clear();
+    const auto now = this->clock.now();
+    this->notesWaits = all && now - this->waitsLoggedAt >= waitLogInterval;
     const auto changed = std::exchange(this->touched, {});
     this->unknownUse = this->inheritedUse();
     for (const auto& [service, jobs] : this->activeJobs) {
         if (!service.empty() && !jobs.empty() && (all || changed.contains(service)))
             this->dispatchService(service);
     }
-    if (all)
-        this->logWaits();
+    if (!this->notesWaits)
+        return;
+    this->waitsLoggedAt = now;
+    this->logWaits();
 }
 
 bool JobScheduler::isUsable(const Server& server) const
@@ -350,23 +348,19 @@
 // True when interrupting the run leaves its lasting step with no more tasks away than it allows.
 bool JobScheduler::canSpare(const Run& run) const
 {
-    const auto& spec = run.job->spec.steps[static_cast<std::size_t>(run.step)];
-    const auto& tasks = run.job->open.at(run.occurrence).steps[static_cast<std::size_t>(run.step)].tasks;
+    const auto& tasks = run.progress().tasks;
     const auto now = this->clock.now();
     const auto away = std::ranges::count_if(tasks, [&](const Task& task) {
         const bool atWork = task.phase == TaskPhase::Running && task.percent >= 100 && task.server->reachable()
             && now - task.server->reportAt < reportAge;
         return &task != run.task && !atWork;
     });
-    return away < spec.mayMiss;
+    return away < run.spec().mayMiss;
 }
 
 void JobScheduler::evacuate(std::string_view machine)
 {
-    const auto place = this->machineServers.find(std::string(machine));
-    if (place == this->machineServers.end())
-        return;
-    for (auto* server : place->second)
+    for (auto* server : this->serversOn(machine))
         this->evacuate(*server, "maintenance wants its machine");
 }
 
@@ -375,9 +369,9 @@
     if (!server.reachable())
         return;
     for (auto& [id, run] : server.runs) {
-        const bool lasting = run.job->spec.steps[static_cast<std::size_t>(run.step)].lasting;
         // A server that leaves ends its tasks anyway, so moving them early costs nothing.
-        if (lasting && run.task->phase == TaskPhase::Running && (server.record.draining || this->canSpare(run)))
+        if (run.spec().lasting && run.task->phase == TaskPhase::Running
+            && (server.record.draining || this->canSpare(run)))
             this->requestStop(server, id, run, reason);
     }
 }
--- a/src/job/pool-mover.cpp
+++ b/src/job/pool-mover.cpp
@@ -23,9 +23,10 @@
 
 } // namespace
 
-PoolMover::PoolMover(
-    JobScheduler& jobScheduler, PoolRules rules, Duration quiet, Clock source, PoolMoverHooks moverHooks)
+PoolMover::PoolMover(JobScheduler& jobScheduler, const MachineList& list, PoolRules rules, Duration quiet, Clock source,
+    PoolMoverHooks moverHooks)
     : scheduler(jobScheduler)
+    , machineList(list)
     , quietStart(quiet)
     , clock(std::move(source))
     , hooks(std::move(moverHooks))
@@ -34,14 +35,6 @@
 {
 }
 
-void PoolMover::machinesListed(std::span<const MachineRecord> machines)
-{
-    this->listed.clear();
-    this->listedAt = this->clock.now();
-    for (const auto& machine : machines)
-        this->listed.emplace(machine.machine, machine);
-}
-
 void PoolMover::tick(const FleetConfig& config)
 {
     const auto now = this->clock.now();
@@ -52,7 +45,7 @@
         this->askedAt = now;
         this->hooks.listMachines();
     }
-    if (now - this->begunAt < std::min(this->quietStart, earlierLeadStops) || this->listedAt == TimePoint {})
+    if (now - this->begunAt < std::min(this->quietStart, earlierLeadStops) || !this->machineList.isRead())
         return;
     this->followMoves();
     this->startMoves(config);
@@ -65,11 +58,11 @@
         const auto current = place++;
         const auto& machine = current->first;
         auto& move = current->second;
-        const auto record = this->listed.find(machine);
+        const auto* record = this->machineList.find(machine);
         const auto* server = this->scheduler.serverOn(machine);
         const bool arrived = server && server->record.id != move.oldServer && server->record.service == move.to;
-        const bool listedThere = record != this->listed.end() && record->second.pool == move.to
-            && record->second.state == MachineState::Up && this->listedAt > move.since;
+        const bool listedThere = record && record->pool == move.to && record->state == MachineState::Up
+            && this->machineList.readAt > move.since;
         if (move.accepted && (arrived || listedThere || now - move.since > longestMove)) {
             this->scheduler.setClosing(machine, false);
             this->moves.erase(current);
@@ -94,7 +87,7 @@
         demands.push_back({ service.name, service.standby, this->scheduler.neededProcessor(service.name),
             this->scheduler.neededServers(service.name) });
     std::vector<PoolMachine> machines;
-    for (const auto& [name, record] : this->listed) {
+    for (const auto& [name, record] : this->machineList.machines) {
         PoolMachine machine { name, record.pool, 0, false, false };
         const auto* server = this->scheduler.serverOn(name);
         const auto move = this->moves.find(name);
--- a/src/job/pool-mover.h
+++ b/src/job/pool-mover.h
@@ -2,6 +2,7 @@
 // Belongs to the lead and does no I/O.
 #pragma once
 
+#include "job/machine-list.h"
 #include "job/pool-balance.h"
 #include "job/scheduler.h"
 
@@ -27,11 +28,12 @@
 public:
     // Until `quietStart` has passed, a new lead moves only machines whose server has lived so long that the earlier
     // lead has ordered nothing for them lately.
-    PoolMover(JobScheduler& scheduler, PoolRules rules, Duration quietStart, Clock clock, PoolMoverHooks hooks);
+    // `list` is kept up to date by the caller and outlives this.
+    PoolMover(JobScheduler& scheduler, const MachineList& list, PoolRules rules, Duration quietStart, Clock clock,
+        PoolMoverHooks hooks);
 
     std::map<std::string, int> firstSizes() const { return this->balance.firstSizes(); }
     void setFirstSizes(const std::map<std::string, int>& sizes) { this->balance.setFirstSizes(sizes); }
-    void machinesListed(std::span<const MachineRecord> machines);
     void orderAnswered(const std::string& machine, const std::string& pool, MachineOrderStatus status);
     void tick(const FleetConfig& config);
     bool isMoving(const std::string& machine) const { return this->moves.contains(machine); }
@@ -51,13 +53,12 @@
     void order(const std::string& machine, Move& move);
 
     JobScheduler& scheduler;
+    const MachineList& machineList;
     const Duration quietStart;
     const Clock clock;
     const PoolMoverHooks hooks;
     const TimePoint begunAt;
     PoolBalance balance;
-    std::map<std::string, MachineRecord> listed;
-    TimePoint listedAt;
     TimePoint askedAt;
     std::map<std::string, Move> moves;
     // Machines that the platform does not let into a pool.
--- a/src/job/reports.cpp
+++ b/src/job/reports.cpp
@@ -7,11 +7,14 @@
 
 namespace waxwinglug {
 
+std::string detail::taskText(const TaskId& id) { return fmt::format("{}.{}.{}", id.occurrence, id.step, id.index); }
+
 using detail::Job;
 using detail::Run;
 using detail::Server;
 using detail::Task;
 using detail::TaskPhase;
+using detail::taskText;
 
 namespace {
 
@@ -34,8 +37,6 @@
     constexpr std::int64_t speedUpBelow = 60;
     constexpr int leastPace = 5; // percent; a task at rest would never show that the room is back
 
-    std::string taskText(const TaskId& id) { return fmt::format("{}.{}.{}", id.occurrence, id.step, id.index); }
-
 } // namespace
 
 void JobScheduler::applyEnd(Server& server, const EndedRun& ended)
@@ -105,12 +106,11 @@
 
 void JobScheduler::releaseRun(Server& server, std::map<TaskId, Run>::iterator run)
 {
-    const auto& [id, state] = *run;
-    const auto number = static_cast<std::size_t>(id.step);
+    const auto& state = run->second;
     server.used -= state.room;
-    this->teamUse[state.job->spec.team] -= state.job->spec.steps[number].need;
+    this->teamUse[state.job->spec.team] -= state.spec().need;
     state.task->server = nullptr;
-    setPhase(state.job->open.at(id.occurrence).steps[number], *state.task, TaskPhase::Waiting);
+    setPhase(state.progress(), *state.task, TaskPhase::Waiting);
     this->touched.insert(state.job->service);
     server.runs.erase(run);
 }
@@ -176,7 +176,7 @@
         task.checkpoint = running.checkpoint;
     run.latency = running.load;
     if (task.phase == TaskPhase::Starting || task.phase == TaskPhase::Doubtful) {
-        setPhase(run.job->open.at(run.occurrence).steps[static_cast<std::size_t>(run.step)], task, TaskPhase::Running);
+        setPhase(run.progress(), task, TaskPhase::Running);
         task.startConfirmed = true;
         task.confirmedAt = this->clock.now();
         if (run.job->state == JobPhase::Pending) {
@@ -279,7 +279,7 @@
 {
     auto& task = *run.task;
     const auto now = this->clock.now();
-    const auto& step = run.job->spec.steps[static_cast<std::size_t>(run.step)];
+    const auto& step = run.spec();
     if (running.percent != task.percent) {
         task.percent = running.percent;
         task.percentChangedAt = now;
@@ -316,13 +316,13 @@
 {
     std::int64_t worst = 0; // percent of the target
     for (const auto& [id, run] : server.runs) {
-        const auto target = run.job->spec.steps[static_cast<std::size_t>(run.step)].latencyTarget;
+        const auto target = run.spec().latencyTarget;
         if (target > Duration(0))
             worst = std::max(worst, run.latency * 100 / target.count());
     }
     for (auto& [id, run] : server.runs) {
         auto& task = *run.task;
-        if (!run.job->spec.steps[static_cast<std::size_t>(run.step)].fills || task.phase != TaskPhase::Running)
+        if (!run.spec().fills || task.phase != TaskPhase::Running)
             continue;
         int pace = task.pace;
         if (worst > slowAbove)
@@ -365,9 +365,8 @@
             this->endRun(server, current, RunEnd::LeaseExpired, false);
             continue;
         }
-        auto& occurrence = current->second.job->open.at(current->second.occurrence);
         if (task.phase == TaskPhase::Starting)
-            setPhase(occurrence.steps[static_cast<std::size_t>(current->second.step)], task, TaskPhase::Doubtful);
+            setPhase(current->second.progress(), task, TaskPhase::Doubtful);
         task.stopConfirmed = false;
         task.confirmedAt = this->clock.now();
     }
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -38,6 +38,14 @@
     return "";
 }
 
+void JobSchedulerRules::followStoppedLead()
+{
+    // Delay of timers and answers until the last hold call of the earlier lead has ended.
+    constexpr Duration slack { 400 };
+    this->earlierStarts = Duration(0);
+    this->inheritedLease = this->lease * 1000 / detail::slowestClock + slack;
+}
+
 Resources roomNeeded(const StepSpec& step)
 {
     auto need = step.need;
@@ -111,7 +119,7 @@
     if (job->isOver()) {
         this->activeJobs[job->service].erase(job);
         job->endedAt = this->clock.now();
-        this->ended.push_back(job);
+        this->endedJobs.push_back(job);
     }
 }
 
@@ -196,7 +204,7 @@
 {
     job.state = state;
     job.endedAt = this->clock.now();
-    this->ended.push_back(&job);
+    this->endedJobs.push_back(&job);
     this->activeJobs[job.service].erase(&job);
     this->markUnsaved(job);
     this->hooks.log("job ended", { { "job", job.spec.id }, { "state", phaseName(state) }, { "reason", reason } });
@@ -224,18 +232,18 @@
     std::vector<std::string> expired;
     const auto now = this->clock.now();
     // In the order in which the jobs ended.
-    for (auto place = this->ended.begin(); place != this->ended.end() && expired.size() < most;) {
+    for (auto place = this->endedJobs.begin(); place != this->endedJobs.end() && expired.size() < most;) {
         auto* job = *place;
         if (now - job->endedAt <= this->rules.keepEnded)
             break;
-        const bool runs = std::ranges::any_of(this->serverMap, [job](const auto& entry) {
+        const auto runsOn = [job](const auto& entry) {
             return std::ranges::any_of(entry.second->runs, [job](const auto& run) { return run.second.job == job; });
-        });
-        if (job->dirtyTicket != 0 || this->inFlightTicket != 0 || runs) {
+        };
+        if (job->dirtyTicket != 0 || this->inFlightTicket != 0 || std::ranges::any_of(this->serverMap, runsOn)) {
             ++place;
             continue;
         }
-        place = this->ended.erase(place);
+        place = this->endedJobs.erase(place);
         expired.push_back(job->spec.id);
         this->inheritedJobs.erase(job);
         this->jobTable.remove(expired.back());
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -56,6 +56,9 @@
     Duration inheritedLease { 9500 };
     // How long rows of an ended job are kept.
     Duration keepEnded { std::chrono::minutes(3) };
+
+    // Shortens what is waited for after an earlier lead that has stopped for certain.
+    void followStoppedLead();
 };
 
 // What is to be stored of one job.
@@ -170,7 +173,10 @@
     // servers.cpp
     void placeOnMachine(detail::Server& server, ServerRecord record);
     void leaveMachine(detail::Server& server);
+    // Empty for a machine that is not known.
+    std::span<detail::Server* const> serversOn(std::string_view machine) const;
     void endEarlierLives(const detail::Server& latest);
+    void endForGood(detail::Server& server, std::string_view reason);
     void crashed(detail::Server& server);
     void dropLostServers();
 
@@ -244,8 +250,9 @@
     std::set<const detail::Job*> inheritedJobs;
     std::map<std::string, Resources> teamUse;
     // Tasks that could not start in the latest look at everything, by service, team and reason.
-    std::map<std::tuple<std::string, std::string, std::string_view>, int> waits;
+    std::map<std::tuple<std::string, std::string, std::string_view>, int> waitCounts;
     TimePoint waitsLoggedAt;
+    bool notesWaits = false; // the look that is under way is going to be logged
     // The most that each team may run on servers that have not answered yet, as of the latest dispatch.
     std::map<std::string, Resources> unknownUse;
     // Services in which a task may be able to start since the last dispatch.
@@ -255,7 +262,7 @@
     std::uint64_t issuedTickets = 0;
     // Ticket of the oldest change in the batch that is being stored; 0: none is.
     std::uint64_t inFlightTicket = 0;
-    std::deque<detail::Job*> ended;
+    std::deque<detail::Job*> endedJobs;
     // Work of jobs that arrived lately, by service.
     struct Arrival {
         TimePoint at;
--- a/src/job/server-table.h
+++ b/src/job/server-table.h
@@ -24,8 +24,17 @@
     Resources room;
     // Latest tail latency of a serving task, in milliseconds.
     std::int64_t latency = 0;
+
+    const StepSpec& spec() const { return this->job->spec.steps[static_cast<std::size_t>(this->step)]; }
+    StepProgress& progress() const
+    {
+        return this->job->open.at(this->occurrence).steps[static_cast<std::size_t>(this->step)];
+    }
 };
 
+// A task in log lines, which name its job beside it.
+std::string taskText(const TaskId& id);
+
 // A run on a server that nobody needs, with what it counts for its team.
 struct Stray {
     int run = 0;
--- a/src/job/servers.cpp
+++ b/src/job/servers.cpp
@@ -63,17 +63,24 @@
 // A machine runs one server at a time, so a later one shows that the earlier ones are gone.
 void JobScheduler::endEarlierLives(const Server& latest)
 {
-    const auto place = this->machineServers.find(latest.record.machine);
-    if (place == this->machineServers.end())
-        return;
-    for (auto* other : place->second) {
-        if (other != &latest && !other->gone && other->record.startedAt < latest.record.startedAt) {
-            this->endLife(*other, "a later server lives on its machine");
-            other->gone = true;
-        }
+    for (auto* other : this->serversOn(latest.record.machine)) {
+        if (other != &latest && !other->gone && other->record.startedAt < latest.record.startedAt)
+            this->endForGood(*other, "a later server lives on its machine");
     }
 }
 
+void JobScheduler::endForGood(Server& server, std::string_view reason)
+{
+    this->endLife(server, reason);
+    server.gone = true;
+}
+
+std::span<Server* const> JobScheduler::serversOn(std::string_view machine) const
+{
+    const auto place = this->machineServers.find(std::string(machine));
+    return place == this->machineServers.end() ? std::span<Server* const> {} : std::span(place->second);
+}
+
 void JobScheduler::addEnrolled(const ServerRecord& record)
 {
     const auto* later = record.machine.empty() ? nullptr : this->serverOn(record.machine);
@@ -106,20 +113,15 @@
 void JobScheduler::machinesListed(std::span<const MachineRecord> machines, TimePoint askedAt)
 {
     for (const auto& machine : machines) {
-        const auto place = this->machineServers.find(machine.machine);
-        if (place == this->machineServers.end())
-            continue;
         const bool down = machine.state == MachineState::Down;
-        for (auto* server : place->second) {
+        for (auto* server : this->serversOn(machine.machine)) {
             if (server->gone || server->reachable() || server->silentSince == TimePoint {}
                 || askedAt < server->silentSince || (!down && server->record.id == machine.server))
                 continue;
-            if (down) {
+            if (down)
                 this->crashed(*server);
-                continue;
-            }
-            this->endLife(*server, "its machine runs another server");
-            server->gone = true;
+            else
+                this->endForGood(*server, "its machine runs another server");
         }
     }
 }
@@ -187,10 +189,8 @@
 void JobScheduler::serverStopped(std::string_view id)
 {
     const auto server = this->serverMap.find(id);
-    if (server == this->serverMap.end())
-        return;
-    this->endLife(*server->second, "its machine was moved");
-    server->second->gone = true;
+    if (server != this->serverMap.end())
+        this->endForGood(*server->second, "its machine was moved");
 }
 
 bool JobScheduler::isCutOff() const
@@ -212,10 +212,8 @@
         this->closingMachines.emplace(machine);
     else
         this->closingMachines.erase(std::string(machine));
-    if (const auto place = this->machineServers.find(std::string(machine)); place != this->machineServers.end()) {
-        for (auto* server : place->second)
-            server->closing = closing;
-    }
+    for (auto* server : this->serversOn(machine))
+        server->closing = closing;
 }
 
 void JobScheduler::setDue(std::string_view machine, bool due)
@@ -224,27 +222,19 @@
         this->dueMachines.emplace(machine);
     else
         this->dueMachines.erase(std::string(machine));
-    if (const auto place = this->machineServers.find(std::string(machine)); place != this->machineServers.end()) {
-        for (auto* server : place->second)
-            server->due = due;
-    }
+    for (auto* server : this->serversOn(machine))
+        server->due = due;
 }
 
 bool JobScheduler::hasLasting(const Server& server)
 {
-    return std::ranges::any_of(server.runs, [](const auto& entry) {
-        const auto& run = entry.second;
-        return run.job->spec.steps[static_cast<std::size_t>(run.step)].lasting;
-    });
+    return std::ranges::any_of(server.runs, [](const auto& entry) { return entry.second.spec().lasting; });
 }
 
 const Server* JobScheduler::serverOn(std::string_view machine) const
 {
     const Server* latest = nullptr;
-    const auto place = this->machineServers.find(std::string(machine));
-    if (place == this->machineServers.end())
-        return latest;
-    for (const auto* server : place->second) {
+    for (const auto* server : this->serversOn(machine)) {
         if (server->listed && (!latest || latest->record.startedAt < server->record.startedAt))
             latest = server;
     }
@@ -261,14 +251,15 @@
             server->inherited = false;
         if (server->missedHolds == 0)
             continue;
+        const bool leaseOver = server->leaseSurelyOver(now);
         // The next lead need not wait for it. It is stored again before it gets its next task.
-        if (server->enrolled && !server->inherited && server->leaseSurelyOver(now)) {
+        if (server->enrolled && !server->inherited && leaseOver) {
             server->enrolled = false;
             this->discharged.push_back(id);
         }
         if (server->runs.empty())
             continue;
-        if (server->leaseSurelyOver(now))
+        if (leaseOver)
             this->loseRuns(*server, "its lease is over");
         else if (!server->answered && now - server->lifeBegunAt > longestDoubt)
             this->loseRuns(*server, "its new life has not answered");
--- a/src/job/upkeep.cpp
+++ b/src/job/upkeep.cpp
@@ -29,8 +29,10 @@
 
 } // namespace
 
-Upkeep::Upkeep(JobScheduler& jobScheduler, UpkeepRules upkeepRules, Clock source, UpkeepHooks upkeepHooks)
+Upkeep::Upkeep(
+    JobScheduler& jobScheduler, const MachineList& list, UpkeepRules upkeepRules, Clock source, UpkeepHooks upkeepHooks)
     : scheduler(jobScheduler)
+    , machineList(list)
     , rules(upkeepRules)
     , clock(std::move(source))
     , hooks(std::move(upkeepHooks))
@@ -104,7 +106,7 @@
         if (wave.completed)
             continue;
         this->advance(wave);
-        waits = waits || countOf(wave, { Stage::Ordered, Stage::Down }) > 0 || this->listedAt == TimePoint {};
+        waits = waits || countOf(wave, { Stage::Ordered, Stage::Down }) > 0 || !this->machineList.isRead();
     }
     if (waits && now - this->askedAt >= listInterval) {
         this->askedAt = now;
@@ -153,6 +155,8 @@
 {
     const int most = wave.spec.atOnce + closingAhead;
     int busy = countOf(wave, { Stage::Closing, Stage::Ordered, Stage::Down });
+    if (busy >= most)
+        return;
     // The machines with the least to wait for come first.
     std::vector<std::pair<std::int64_t, std::string>> due;
     for (const auto& [name, machine] : wave.machines) {
@@ -161,7 +165,7 @@
         const auto* server = this->scheduler.serverOn(name);
         due.emplace_back(server ? server->used.cpu : 0, name);
     }
-    if (due.empty() || busy >= most)
+    if (due.empty())
         return;
     std::ranges::sort(due);
     auto rooms = this->serviceRooms();
@@ -205,10 +209,9 @@
         // No new server can live there yet; one that is listed only now came before, with a move.
         if (server && now - machine.since < this->rules.maintenanceTime * earliestReturn / 100)
             machine.oldServer = server->record.id;
-        const auto record = this->listed.find(name);
-        const bool listedUp = record != this->listed.end()
-            && this->listedAt > machine.since + this->rules.maintenanceTime && record->second.state == MachineState::Up
-            && (machine.oldServer.empty() || record->second.server != machine.oldServer);
+        const auto* record = this->machineList.find(name);
+        const bool listedUp = record && this->machineList.readAt > machine.since + this->rules.maintenanceTime
+            && record->state == MachineState::Up && (machine.oldServer.empty() || record->server != machine.oldServer);
         const bool newServer = server && server->record.id != machine.oldServer;
         // The platform accepts an order that an earlier lead had carried out, and leaves the machine alone.
         const bool untouched = server && server->reachable() && server->reportAt > machine.since + untouchedTime;
@@ -276,12 +279,4 @@
     }
 }
 
-void Upkeep::machinesListed(std::span<const MachineRecord> machines)
-{
-    this->listed.clear();
-    this->listedAt = this->clock.now();
-    for (const auto& machine : machines)
-        this->listed.emplace(machine.machine, machine);
-}
-
 } // namespace waxwinglug
--- a/src/job/upkeep.h
+++ b/src/job/upkeep.h
@@ -3,6 +3,7 @@
 // Belongs to the lead and does no I/O. An order may be repeated: the platform accepts one that was carried out before.
 #pragma once
 
+#include "job/machine-list.h"
 #include "job/scheduler.h"
 
 #include <waxwinglug/fleet-platform.h>
@@ -35,11 +36,11 @@
 
 class Upkeep {
 public:
-    Upkeep(JobScheduler& scheduler, UpkeepRules rules, Clock clock, UpkeepHooks hooks);
+    // `list` is kept up to date by the caller and outlives this.
+    Upkeep(JobScheduler& scheduler, const MachineList& list, UpkeepRules rules, Clock clock, UpkeepHooks hooks);
 
     // `done` are machines whose maintenance an earlier lead has seen through.
     void addWave(const MachineWave& wave, const std::set<std::string>& done);
-    void machinesListed(std::span<const MachineRecord> machines);
     void orderAnswered(const std::string& machine, int wave, MachineOrderStatus status);
     void tick();
 
@@ -67,6 +68,11 @@
         std::map<std::string, Machine> machines;
         bool completed = false;
     };
+    // Servers of one service.
+    struct ServiceRoom {
+        int all = 0;
+        int away = 0;
+    };
 
     void advance(Wave& wave);
     void closeMore(Wave& wave);
@@ -74,24 +80,18 @@
     void sendOrder(Wave& wave, const std::string& name, Machine& machine);
     void setStage(const std::string& name, Machine& machine, Stage stage);
     void report(Wave& wave);
-    struct ServiceRoom {
-        int all = 0;
-        int away = 0;
-    };
     std::map<std::string, ServiceRoom> serviceRooms() const;
     bool isAnyLate() const;
     bool isLate(const Wave& wave) const;
     static int countOf(const Wave& wave, std::initializer_list<Stage> stages);
 
     JobScheduler& scheduler;
+    const MachineList& machineList;
     const UpkeepRules rules;
     const Clock clock;
     const UpkeepHooks hooks;
     const TimePoint begunAt;
     std::map<int, Wave> waves;
-    // Last complete list of machines, by name.
-    std::map<std::string, MachineRecord> listed;
-    TimePoint listedAt;
     TimePoint askedAt;
     bool fenced = false; // a later lead gives the orders
 };
--- a/src/process/fleet-node-settings.cpp
+++ b/src/process/fleet-node-settings.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-    using std::chrono::hours;
-    using std::chrono::milliseconds;
-    using std::chrono::minutes;
-    using std::chrono::seconds;
-
     std::optional<double> parseDecimal(std::string_view text, double least, double most)
     {
         double number = 0;
--- a/src/process/setting-table.h
+++ b/src/process/setting-table.h
@@ -15,6 +15,11 @@
 
 namespace waxwinglug::detail {
 
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
 // Names are part of row keys and log lines.
 inline constexpr std::size_t mostNameLength = 63;
 
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-    using std::chrono::hours;
-    using std::chrono::milliseconds;
-    using std::chrono::minutes;
-    using std::chrono::seconds;
-
     // Shorter secrets can be found by trial from one recorded message.
     constexpr std::size_t leastSecretLength = 32;
     bool storeSeeds(EntrySettings& settings, std::string_view value)
--- a/test/job/pool-mover-test.cpp
+++ b/test/job/pool-mover-test.cpp
@@ -14,6 +14,7 @@
         ManualClock clock;
         FleetConfig config;
         std::unique_ptr<JobScheduler> scheduler;
+        MachineList list;
         std::unique_ptr<PoolMover> mover;
         std::vector<std::string> orders;
         std::vector<MachineRecord> machines;
@@ -32,11 +33,11 @@
             this->scheduler->setConfig(std::make_shared<FleetConfig>(this->config));
             PoolMoverHooks moves;
             moves.order = [this](const std::string& machine, const std::string&) { this->orders.push_back(machine); };
-            moves.listMachines = [this] { this->mover->machinesListed(this->machines); };
+            moves.listMachines = [this] { this->list.replace(this->machines, this->clock.now()); };
             moves.inMaintenance = [](const std::string&) { return false; };
             moves.log = hooks.log;
             this->mover = std::make_unique<PoolMover>(
-                *this->scheduler, PoolRules {}, quiet, this->clock.clock(), std::move(moves));
+                *this->scheduler, this->list, PoolRules {}, quiet, this->clock.clock(), std::move(moves));
             for (int number = 0; number < 4; ++number) {
                 this->addServer("press", number, std::chrono::minutes(1));
                 this->addServer("sheets", number, number == 0 ? Duration(2000) : std::chrono::minutes(1));
--- a/test/job/upkeep-test.cpp
+++ b/test/job/upkeep-test.cpp
@@ -15,6 +15,7 @@
         bool completed = false;
         std::set<std::string> moving;
         std::unique_ptr<JobScheduler> scheduler;
+        MachineList machines;
         std::unique_ptr<Upkeep> upkeep;
 
         void SetUp() override
@@ -40,7 +41,8 @@
             hooks.log = [](std::string_view, std::initializer_list<LogField>) {};
             UpkeepRules rules;
             rules.quietStart = quietStart;
-            this->upkeep = std::make_unique<Upkeep>(*this->scheduler, rules, this->clock.clock(), hooks);
+            this->upkeep
+                = std::make_unique<Upkeep>(*this->scheduler, this->machines, rules, this->clock.clock(), hooks);
         }
 
         void wave(std::set<std::string> done = {})
@@ -48,6 +50,13 @@
             this->upkeep->addWave({ 1, { "m1", "m2", "m3" }, std::chrono::seconds(20), 2 }, done);
         }
 
+        // The platform's answer to orders for these machines.
+        void answer(const std::vector<std::string>& names, MachineOrderStatus status)
+        {
+            for (const auto& name : names)
+                this->upkeep->orderAnswered(name, 1, status);
+        }
+
         void listServer(const std::string& id, const std::string& machine)
         {
             ServerRecord record;
@@ -62,7 +71,7 @@
             std::vector<MachineRecord> list;
             for (const auto* name : { "m1", "m2", "m3" })
                 list.push_back({ name, "spare", state, "", {} });
-            this->upkeep->machinesListed(list);
+            this->machines.replace(list, this->clock.now());
         }
     };
 
@@ -74,8 +83,7 @@
     this->wave();
     this->upkeep->tick();
     EXPECT_EQ(this->orders.size(), 2U);
-    for (const auto& machine : std::vector(this->orders))
-        this->upkeep->orderAnswered(machine, 1, MachineOrderStatus::Accepted);
+    this->answer(std::vector(this->orders), MachineOrderStatus::Accepted);
     this->clock.advance(Duration(1000));
     this->upkeep->tick();
     EXPECT_EQ(this->orders.size(), 2U);
@@ -87,8 +95,7 @@
     this->wave();
     for (int round = 0; round < 4; ++round) {
         this->upkeep->tick();
-        for (const auto& machine : std::vector(this->orders))
-            this->upkeep->orderAnswered(machine, 1, MachineOrderStatus::Accepted);
+        this->answer(std::vector(this->orders), MachineOrderStatus::Accepted);
         EXPECT_FALSE(this->completed);
         this->clock.advance(Duration(2500));
         this->listAll(MachineState::Up);
@@ -106,8 +113,7 @@
     this->wave();
     this->upkeep->tick();
     const auto first = this->orders;
-    for (const auto& machine : first)
-        this->upkeep->orderAnswered(machine, 1, MachineOrderStatus::Unknown);
+    this->answer(first, MachineOrderStatus::Unknown);
     this->clock.advance(Duration(500));
     this->upkeep->tick();
     ASSERT_EQ(this->orders.size(), 4U);
@@ -154,8 +160,7 @@
     this->wave();
     this->upkeep->tick();
     ASSERT_EQ(this->orders.size(), 2U);
-    for (const auto& machine : std::vector(this->orders))
-        this->upkeep->orderAnswered(machine, 1, MachineOrderStatus::Accepted);
+    this->answer(std::vector(this->orders), MachineOrderStatus::Accepted);
     this->clock.advance(Duration(100));
     this->listServer("moved", this->orders[0]);
     this->upkeep->tick();
@@ -175,12 +180,10 @@
     this->wave();
     this->upkeep->tick();
     const auto first = this->orders;
-    for (const auto& machine : first)
-        this->upkeep->orderAnswered(machine, 1, MachineOrderStatus::Unknown);
+    this->answer(first, MachineOrderStatus::Unknown);
     this->clock.advance(Duration(500));
     this->upkeep->tick();
-    for (const auto& machine : first)
-        this->upkeep->orderAnswered(machine, 1, MachineOrderStatus::Busy);
+    this->answer(first, MachineOrderStatus::Busy);
     this->clock.advance(Duration(100));
     this->upkeep->tick();
     EXPECT_EQ(std::ranges::count(this->orders, "m3"), 0);
