--- a/bench/scheduling-bench.cpp
+++ b/bench/scheduling-bench.cpp
@@ -1,4 +1,4 @@
-// Measures the scheduler's processor time per task at the size of the grown deployments.
+// Measures the scheduler's processor time per task at the sizes of the grown and the large deployments.
 #include "support/scheduling-load.h"
 
 #include <benchmark/benchmark.h>
@@ -9,7 +9,7 @@
     // Ten seconds of load per iteration. The time is given per started task.
     void schedule(benchmark::State& state)
     {
-        test::SchedulingLoad load;
+        test::SchedulingLoad load(static_cast<int>(state.range(1)));
         load.setRate(static_cast<int>(state.range(0)));
         for (int step = 0; step < 600; ++step)
             load.step();
@@ -26,7 +26,14 @@
         state.counters["time_per_start"]
             = benchmark::Counter(started, benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
     }
-    BENCHMARK(schedule)->Arg(30)->Arg(60)->Arg(120)->Iterations(2)->Unit(benchmark::kMillisecond);
+    BENCHMARK(schedule)
+        ->ArgNames({ "jobs", "servers" })
+        ->Args({ 30, 85 })
+        ->Args({ 60, 85 })
+        ->Args({ 120, 85 })
+        ->Args({ 160, 275 })
+        ->Iterations(1)
+        ->Unit(benchmark::kMillisecond);
 
 } // namespace
 } // namespace waxwinglug
--- a/include/waxwinglug/platform.h
+++ b/include/waxwinglug/platform.h
@@ -31,6 +31,7 @@
     Committed,
     Conflict, // nothing was applied; at least one row has another version
     Unavailable, // nothing was applied
+    Rejected, // nothing was applied, and the same transaction would be rejected again
     Unknown, // the answer was lost; either all writes were applied or none
 };
 
--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -214,6 +214,8 @@
             return;
         this->log.info("configuration is in force",
             { { "version", next.version }, { "queues", next.queues.size() }, { "teams", next.teams.size() } });
+        if (!this->config)
+            this->leadership.becomeCandidate();
         this->config = std::make_shared<const FleetConfig>(std::move(next));
         if (this->session)
             this->session->setConfig(this->config);
--- a/src/io/process/leader-session-storage.cpp
+++ b/src/io/process/leader-session-storage.cpp
@@ -11,25 +11,29 @@
     constexpr Duration minCommitInterval { 15 };
     // Delay after a failed commit, so that an unavailable store does not receive hundreds of calls.
     constexpr Duration commitRetryDelay { 80 };
-    // A transaction holds at most 100 entries. Each job takes a condition and a write; a few other rows are added.
-    constexpr std::size_t maxJobsPerCommit = 40;
-    constexpr std::size_t maxJobsPerCommitWithServers = 20;
-    constexpr std::size_t maxServersPerCommit = 40;
+    // Part of a transaction's entries that use records of servers may take; the rest is for the progress of jobs.
+    constexpr std::size_t maxServersPerCommitPercent = 60;
+    constexpr std::size_t entriesPerJob = 2; // a condition and a write
+    // The entry limit is not lowered further after rejected transactions: the leader's condition, a heartbeat and one
+    // job must fit.
+    constexpr std::size_t minTransactionEntries = 4;
     constexpr std::size_t maxRemovalsPerTick = 1; // jobs; as many expire as are accepted, a few dozen a second
     // Counts that callers see may be up to 2 s old.
     constexpr Duration minSummaryInterval { 700 };
 
 } // namespace
 
-void LeaderSession::addSummary(RowTransaction& transaction)
+void LeaderSession::addSummary(BoundedTransaction& transaction)
 {
     if (this->clock.now() - this->summaryWrittenAt < minSummaryInterval)
         return;
     auto waiting = this->jobScheduler.pendingJobsByQueue();
     if (waiting == this->storedSummary)
         return;
+    const RowName name { tables::summary, Leadership::part, tables::summaryKey };
+    if (!transaction.tryAdd({ {}, { { name, Json(waiting).dump() } }, {} }))
+        return;
     this->summaryWrittenAt = this->clock.now();
-    transaction.writes.push_back({ { tables::summary, Leadership::part, tables::summaryKey }, Json(waiting).dump() });
     this->storedSummary = std::move(waiting);
 }
 
@@ -37,43 +41,51 @@
 {
     if (this->hasEnded || this->isCommitting || this->clock.now() < this->nextCommitAt)
         return;
-    RowTransaction transaction;
+    BoundedTransaction transaction(this->transactionLimits);
     Batch batch;
-    if (this->hasLoaded) {
-        batch.serverUse = this->jobScheduler.takeServerUseChanges(maxServersPerCommit);
-        batch.progress = this->jobScheduler.takeUnsavedProgress(
-            batch.serverUse.empty() ? maxJobsPerCommit : maxJobsPerCommitWithServers);
-        this->addBatch(transaction, batch);
-        this->addSummary(transaction);
-        batch.maintenance = std::exchange(this->maintenanceWrites, {});
-        transaction.writes.insert(transaction.writes.end(), batch.maintenance.begin(), batch.maintenance.end());
-    }
+    transaction.tryAdd({ { this->leadership.leaderCondition() }, {}, {} });
     if (this->leadership.isHeartbeatDue())
-        transaction.writes.push_back(this->leadership.heartbeat(false));
-    if (transaction.writes.empty() && transaction.removals.empty())
+        transaction.tryAdd({ {}, { this->leadership.heartbeat(false) }, {} });
+    if (this->hasLoaded)
+        this->takeBatch(transaction, batch);
+    if (!transaction.changesRows())
         return;
-    transaction.conditions.push_back(this->leadership.leaderCondition());
     this->isCommitting = true;
     this->nextCommitAt = this->clock.now() + minCommitInterval;
-    this->platform.store.commit(std::move(transaction), commitTimeout,
+    this->platform.store.commit(transaction.take(), commitTimeout,
         this->guarded([this, sentAt = this->clock.now(), batch = std::move(batch)](
                           const TransactionResult& result) { this->onCommit(result, sentAt, batch); }));
 }
 
-void LeaderSession::addBatch(RowTransaction& transaction, const Batch& batch) const
+// Takes the records to store next, as many as fit.
+void LeaderSession::takeBatch(BoundedTransaction& transaction, Batch& batch)
 {
-    for (const auto& write : batch.progress) {
-        const RowName name { tables::progress, Leadership::part, write.job };
-        transaction.conditions.push_back({ name, write.expectedVersion });
-        transaction.writes.push_back({ name, write.text });
-    }
+    batch.maintenance = this->maintenanceRows.moveInto(transaction);
+    this->addSummary(transaction);
+    batch.serverUse
+        = this->jobScheduler.takeServerUseChanges(transaction.entriesLeft() * maxServersPerCommitPercent / 100);
     for (const auto& change : batch.serverUse) {
         const RowName name { tables::serverUse, Leadership::part, change.server };
         if (change.record)
-            transaction.writes.push_back({ name, toJson(*change.record) });
+            transaction.tryAdd({ {}, { { name, toJson(*change.record) } }, {} });
         else
-            transaction.removals.push_back(name);
+            transaction.tryAdd({ {}, {}, { name } });
     }
+    batch.progress
+        = this->jobScheduler.takeUnsavedProgress(transaction.entriesLeft() / entriesPerJob, transaction.bytesLeft());
+    for (const auto& write : batch.progress) {
+        const RowName name { tables::progress, Leadership::part, write.job };
+        transaction.tryAdd({ { { name, write.expectedVersion } }, { { name, write.text } }, {} });
+    }
+}
+
+// A rejected transaction would be rejected again, so the next one is smaller.
+void LeaderSession::handleRejectedCommit()
+{
+    this->transactionLimits.entries = std::max(this->transactionLimits.entries / 2, minTransactionEntries);
+    this->transactionLimits.bytes /= 2;
+    this->hooks.log("the store rejects a transaction",
+        { { "next_entries", this->transactionLimits.entries }, { "next_bytes", this->transactionLimits.bytes } });
 }
 
 // Removes the rows of jobs that ended long ago. Job rows are in other parts than the rows of the leader, so the removal
@@ -99,6 +111,7 @@
         this->leadership.commitConfirmed(sentAt);
         this->jobScheduler.progressSaved(batch.progress, result.version);
         this->jobScheduler.serverUseSaved(batch.serverUse);
+        this->transactionLimits = {};
         return this->scheduleDispatch();
     }
     this->leadership.commitFailed();
@@ -121,7 +134,9 @@
     }
     this->jobScheduler.progressNotSaved(batch.progress);
     this->jobScheduler.serverUseNotSaved(batch.serverUse);
-    this->maintenanceWrites.insert(this->maintenanceWrites.begin(), batch.maintenance.begin(), batch.maintenance.end());
+    this->maintenanceRows.restore(batch.maintenance);
+    if (result.status == CommitStatus::Rejected)
+        this->handleRejectedCommit();
 }
 
 } // namespace waxwinglug::io
--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -92,7 +92,7 @@
     maintenance.requestMachineList = [this] { this->listMachines(); };
     maintenance.isMoving = [this](const std::string& machine) { return this->poolMover.isMoving(machine); };
     maintenance.reportProgress = [this](const MachineWave& wave, bool completed, const std::set<std::string>& done) {
-        this->maintenanceWrites.push_back(
+        this->maintenanceRows.set(
             { { tables::maintenance, Leadership::part, std::to_string(wave.number) }, Json(done).dump() });
         // Reports of a wave are sent one at a time, so that an older one cannot overwrite a newer one.
         auto& waveReport = this->waveReports[wave.number];
@@ -162,7 +162,7 @@
     auto sizes = this->poolMover.initialSizes();
     if (sizes == this->storedPoolSizes)
         return;
-    this->maintenanceWrites.push_back({ { tables::maintenance, Leadership::part, poolSizesKey }, Json(sizes).dump() });
+    this->maintenanceRows.set({ { tables::maintenance, Leadership::part, poolSizesKey }, Json(sizes).dump() });
     this->storedPoolSizes = std::move(sizes);
 }
 
@@ -244,7 +244,9 @@
             continue;
         }
         try {
-            this->jobScheduler.addJob(fromJson<JobSpec>(row.value), !this->hasLoaded);
+            auto job = fromJson<JobSpec>(row.value);
+            validateJob(job);
+            this->jobScheduler.addJob(std::move(job), !this->hasLoaded);
         } catch (const Error& error) {
             this->hooks.log("job row cannot be read", { { "key", row.name.key }, { "problem", error.what() } });
         }
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -4,6 +4,7 @@
 
 #include "io/process/table-follower.h"
 #include "io/process/tables.h"
+#include "job/bounded-transaction.h"
 #include "job/leadership.h"
 #include "job/machine-maintenance.h"
 #include "job/pool-mover.h"
@@ -82,9 +83,10 @@
     void storeChanges();
     void sendWaveReports();
     void storePoolSizes();
-    void addBatch(RowTransaction& transaction, const Batch& batch) const;
+    void takeBatch(BoundedTransaction& transaction, Batch& batch);
+    void handleRejectedCommit();
     void removeExpiredJobs();
-    void addSummary(RowTransaction& transaction);
+    void addSummary(BoundedTransaction& transaction);
     void onCommit(const TransactionResult& result, TimePoint sentAt, const Batch& batch);
     void end(std::string_view reason);
     template <typename Handler> auto guarded(Handler handler);
@@ -108,7 +110,8 @@
     std::vector<std::unique_ptr<TableFollower>> initialReaders;
     std::map<int, MachineWave> waves;
     std::map<std::string, std::set<std::string>> maintainedMachines; // by wave number
-    std::vector<RowValue> maintenanceWrites; // for the next commit
+    PendingRows maintenanceRows; // for the next commit
+    TransactionLimits transactionLimits; // lowered after a transaction that the store rejected
     std::map<int, WaveReport> waveReports;
     std::map<std::string, int> storedPoolSizes;
     std::set<std::string> inheritedCancellations; // read before the progress of their jobs
--- a/src/job/demand.cpp
+++ b/src/job/demand.cpp
@@ -33,7 +33,7 @@
 
 void JobScheduler::recordArrival(const JobRecord& job)
 {
-    if (job.isLongRunning() || job.activeOccurrences.empty())
+    if (job.isLongRunning || job.activeOccurrences.empty())
         return;
     this->arrivals[job.service].push_back(
         { this->clock.now(), detail::remainingWork(job.spec, job.activeOccurrences.begin()->second) });
@@ -58,7 +58,7 @@
         return 0;
     for (const auto* job : jobs->second) {
         for (const auto& [number, occurrence] : job->activeOccurrences) {
-            if (!job->isLongRunning()) {
+            if (!job->isLongRunning) {
                 const auto left = std::max(job->softDeadline(occurrence) - now, minTimeLeft);
                 activeWork += detail::remainingWork(job->spec, occurrence) / left.count();
                 continue;
--- a/src/job/job-table.cpp
+++ b/src/job/job-table.cpp
@@ -12,6 +12,21 @@
     // Maximum number of active occurrences of one job. Later ones wait until one of them is complete.
     constexpr std::size_t maxActiveOccurrences = 50;
 
+    // Declared run time of the longest chain of dependent steps.
+    Duration longestPath(const JobSpec& spec)
+    {
+        std::vector<Duration> ends;
+        Duration longest { 0 };
+        for (const auto& step : spec.steps) {
+            Duration start { 0 };
+            for (const int earlier : step.dependencies)
+                start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
+            ends.push_back(start + step.estimatedDuration);
+            longest = std::max(longest, ends.back());
+        }
+        return longest;
+    }
+
     Occurrence makeOccurrence(const JobRecord& job, int number)
     {
         Occurrence occurrence;
@@ -144,11 +159,6 @@
     return longest;
 }
 
-bool JobRecord::isLongRunning() const
-{
-    return std::ranges::any_of(this->spec.steps, [](const auto& step) { return step.longRunning; });
-}
-
 Task* JobRecord::find(const TaskId& id)
 {
     const auto occurrence = this->activeOccurrences.find(id.occurrence);
@@ -168,23 +178,16 @@
     return this->spec.firstDue + this->spec.interval * occurrence;
 }
 
-Duration JobRecord::criticalPath() const
+JobRecord::JobRecord(JobSpec jobSpec)
+    : spec(std::move(jobSpec))
+    , criticalPath(longestPath(spec))
+    , isLongRunning(std::ranges::any_of(spec.steps, &StepSpec::longRunning))
 {
-    std::vector<Duration> ends;
-    Duration longest { 0 };
-    for (const auto& step : this->spec.steps) {
-        Duration start { 0 };
-        for (const int earlier : step.dependencies)
-            start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
-        ends.push_back(start + step.estimatedDuration);
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
 }
 
 WallTime JobRecord::softDeadline(const Occurrence& occurrence) const
 {
-    const auto allowed = this->stretchFactor * static_cast<double>(this->criticalPath().count());
+    const auto allowed = this->stretchFactor * static_cast<double>(this->criticalPath.count());
     return occurrence.dueAt + Duration(static_cast<std::int64_t>(allowed)) + this->slack;
 }
 
@@ -193,15 +196,14 @@
     const auto id = spec.id;
     const auto [place, added] = this->jobs.try_emplace(id);
     if (added) {
-        place->second = std::make_unique<JobRecord>();
-        place->second->spec = std::move(spec);
+        place->second = std::make_unique<JobRecord>(std::move(spec));
     }
     return added;
 }
 
 JobRecord* JobTable::find(std::string_view id)
 {
-    const auto job = this->jobs.find(std::string(id));
+    const auto job = this->jobs.find(id);
     return job == this->jobs.end() ? nullptr : job->second.get();
 }
 
--- a/src/job/job-table.h
+++ b/src/job/job-table.h
@@ -74,7 +74,12 @@
 };
 
 struct JobRecord {
-    JobSpec spec;
+    explicit JobRecord(JobSpec spec);
+
+    const JobSpec spec;
+    // Declared run time of the longest chain of dependent steps.
+    const Duration criticalPath;
+    const bool isLongRunning; // a step is long-running
     JobStatus state = JobStatus::Pending;
     // Occurrences that are due and not complete. Every lower number than nextOccurrence that is missing here is
     // complete.
@@ -94,17 +99,22 @@
     // When the job reached a final state. Its rows are removed after a retention time.
     TimePoint endedAt;
 
-    bool isLongRunning() const;
     bool isOver() const { return isFinal(this->state); }
     Task* find(const TaskId& id);
     int occurrenceCount() const { return this->spec.occurrences > 0 ? this->spec.occurrences : 1; }
     WallTime dueAt(int occurrence) const;
     // The soft deadline: an occurrence that completes until then has its full value, a later one less.
     WallTime softDeadline(const Occurrence& occurrence) const;
-    // Declared run time of the longest chain of dependent steps.
-    Duration criticalPath() const;
 };
 
+// Allows lookups by std::string_view without a copy.
+struct StringHash {
+    using is_transparent = void; // NOLINT(readability-identifier-naming): name required by the standard library
+    std::size_t operator()(std::string_view text) const { return std::hash<std::string_view> {}(text); }
+};
+
+using JobMap = std::unordered_map<std::string, std::unique_ptr<JobRecord>, StringHash, std::equal_to<>>;
+
 class JobTable {
 public:
     // Returns false if the job already exists.
@@ -118,10 +128,10 @@
     // Activates the occurrences that are due. Returns true if there is a new one.
     static bool activateDueOccurrences(JobRecord& job, WallTime now);
 
-    const std::unordered_map<std::string, std::unique_ptr<JobRecord>>& all() const { return this->jobs; }
+    const JobMap& all() const { return this->jobs; }
 
 private:
-    std::unordered_map<std::string, std::unique_ptr<JobRecord>> jobs;
+    JobMap jobs;
 };
 
 // Remaining declared work of an occurrence, in thousandths of a core times milliseconds.
--- a/src/job/leadership.cpp
+++ b/src/job/leadership.cpp
@@ -88,7 +88,16 @@
 {
     const int referenceMillicores = this->leaderMillicores > 0 ? this->leaderMillicores : defaultLeaderMillicores;
     const int missingMillicores = std::clamp(referenceMillicores - this->processorMillicores, 0, referenceMillicores);
-    return this->timings.smallVmDelay * missingMillicores / referenceMillicores + this->randomDelay;
+    const auto delay = this->knownFence == 0 ? this->timings.firstTermSmallVmDelay : this->timings.smallVmDelay;
+    return delay * missingMillicores / referenceMillicores + this->randomDelay;
+}
+
+// The delays in favour of larger VMs begin when a VM could lead; all of them would be over if the configuration came
+// later than the process.
+void Leadership::becomeCandidate()
+{
+    if (this->knownFence == 0)
+        this->heartbeatSeenAt = this->clock.now();
 }
 
 bool Leadership::isMuchLarger() const
--- a/src/job/leadership.h
+++ b/src/job/leadership.h
@@ -31,6 +31,9 @@
     // While commits fail, the leader continues for this long. Nobody can acquire leadership while the store is down. If
     // the store refuses only this VM, backend servers refuse its orders once another leader has reached them.
     Duration storeOutageLimit { 5000 };
+    // The same delay for the first leader of all. VMs start up to 0.3 s apart, and nothing runs yet that a longer wait
+    // would delay.
+    Duration firstTermSmallVmDelay { 550 };
     // Additional delay of a VM, multiplied by the share of processor that it lacks against the latest leader, so that a
     // VM with enough processor acquires leadership first. Several times the interval at which VMs check whether to
     // acquire it.
@@ -60,6 +63,8 @@
     void observe(std::span<const StoredRow> rows);
     // The store answered a call. Without this, an unresponsive store would look like an unresponsive leader.
     void storeAnswered();
+    // This VM can lead from now on, because it has a configuration.
+    void becomeCandidate();
     // A call to the store failed.
     void storeCallFailed() { this->lastStoreCallFailed = true; }
 
--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -63,9 +63,8 @@
     task.startConfirmed = false;
     task.stopConfirmed = false;
     const auto reserved = reservedResources(job.spec.steps[step]);
-    server.allocated += reserved;
     this->teamAllocations[job.spec.team] += job.spec.steps[step].taskResources;
-    server.runs.insert_or_assign(id, Run { &job, occurrence.number, static_cast<int>(step), &task, run, reserved, 0 });
+    server.addRun(id, { &job, occurrence.number, static_cast<int>(step), &task, run, reserved, 0 });
     const auto until = server.clockAt(now) + this->rules.startValidity.count();
     server.leaseUntil = std::max(server.leaseUntil, until);
     this->hooks.log("task started",
@@ -172,12 +171,22 @@
     }
 }
 
+// Sets the time of the next renewal. While one is in flight, its answer sets the time again.
+void JobScheduler::scheduleRenewal(Server& server, TimePoint at)
+{
+    this->renewalQueue.erase({ server.nextRenewalAt, server.serial });
+    server.nextRenewalAt = at;
+    if (!server.renewing)
+        this->renewalQueue.emplace(std::pair(at, server.serial), &server);
+}
+
 void JobScheduler::sendDueRenewals()
 {
     const auto now = this->clock.now();
-    for (auto& [id, server] : this->serverMap) {
-        if (!server->renewing && now >= server->nextRenewalAt)
-            this->sendRenewal(*server);
+    while (!this->renewalQueue.empty() && this->renewalQueue.begin()->first.first <= now) {
+        auto& server = *this->renewalQueue.begin()->second;
+        this->renewalQueue.erase(this->renewalQueue.begin());
+        this->sendRenewal(server);
     }
 }
 
@@ -222,7 +231,7 @@
             this->hooks.log("backend server does not answer",
                 { { "server", serverId }, { "status", orderStatusName(status) }, { "runs", server.runs.size() },
                     { "lease_left_ms", server.leaseUntil - server.clockAt(now) } });
-        server.nextRenewalAt = now + renewRetryInterval;
+        this->scheduleRenewal(server, now + renewRetryInterval);
         if (status == OrderStatus::FenceTooLow)
             this->reportSuperseded(server);
         if (status == OrderStatus::OtherIncarnation)
@@ -231,7 +240,7 @@
     }
     if (report.startedAt && *report.startedAt < server.record.startedAt) {
         // A delayed answer of an earlier incarnation.
-        server.nextRenewalAt = now;
+        this->scheduleRenewal(server, now);
         return;
     }
     if (report.startedAt && *report.startedAt > server.record.startedAt) {
@@ -246,6 +255,7 @@
     server.fenceConfirmed = true;
     server.inherited = false;
     server.missedRenewals = 0;
+    this->mayLackUseRecords = this->mayLackUseRecords || !server.useRecorded;
     server.lastReportAt = now;
     server.reportClock = report.clock;
     for (const auto& ended : report.ended)
@@ -254,8 +264,8 @@
         this->applyRunning(server, running, sentAt);
     this->applyMissingRuns(server, sentAt, report);
     this->adjustThrottles(server);
-    this->acknowledgeStoredEnds();
-    server.nextRenewalAt = server.unacknowledgedEnds.empty() ? now : now + unstoredEndsRenewDelay;
+    this->acknowledgeStoredEnds(server, this->storedSequence());
+    this->scheduleRenewal(server, server.unacknowledgedEnds.empty() ? now : now + unstoredEndsRenewDelay);
 }
 
 void JobScheduler::reportSuperseded(const Server& server)
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -44,6 +44,14 @@
     // empty machines empty, so that they can be powered off.
     constexpr std::int64_t nonEmptyServerScore = 500'000;
 
+    int countTasksOfStep(const Server& server, const JobRecord* job, int occurrence, std::size_t step)
+    {
+        return static_cast<int>(std::ranges::count_if(server.runs, [&](const auto& entry) {
+            const auto& run = entry.second;
+            return run.job == job && run.occurrence == occurrence && run.step == static_cast<int>(step);
+        }));
+    }
+
     bool hasLabel(const ServerRecord& server, std::string_view label)
     {
         return label.empty() || std::ranges::find(server.labels, label) != server.labels.end();
@@ -64,10 +72,6 @@
         return sum;
     }
 
-    bool isLatencySensitive(const Run& run) { return run.spec().latencyTarget > Duration(0); }
-
-    bool isBestEffort(const Run& run) { return run.spec().bestEffort; }
-
 } // namespace
 
 void JobScheduler::recordWait(const ReadyStep& ready, std::string_view reason)
@@ -110,9 +114,8 @@
     this->logWaits();
 }
 
-bool JobScheduler::isUsable(const Server& server) const
+bool JobScheduler::isUsable(const Server& server, TimePoint now) const
 {
-    const auto now = this->clock.now();
     const bool isRegistered = server.registered || now - server.unregisteredAt < reregistrationGrace;
     return isRegistered && server.useRecorded && !server.record.draining && server.isReachable() && !server.cordoned
         && server.orphans.empty() && now >= server.backoffUntil && now >= server.ejectedUntil
@@ -129,62 +132,54 @@
 }
 
 // Computes the priority of every active occurrence of a service.
-std::map<const Occurrence*, JobScheduler::Priority> JobScheduler::prioritizeOccurrences(
-    const std::string& service) const
+std::vector<JobScheduler::ActiveOccurrence> JobScheduler::prioritizeOccurrences(
+    const std::string& service, std::span<Server* const> candidates) const
 {
-    std::map<const Occurrence*, Priority> priorities;
-    std::vector<OnTimeCandidate> jobs;
-    std::vector<std::pair<const JobRecord*, const Occurrence*>> occurrences;
+    std::vector<ActiveOccurrence> active;
+    std::vector<OnTimeCandidate> jobs; // one per occurrence that has a deadline
     const auto now = this->clock.wallNow();
-    for (const auto* job : this->activeJobs.at(service)) {
-        for (const auto& [number, occurrence] : job->activeOccurrences) {
-            if (job->isLongRunning())
-                continue;
-            jobs.push_back({ job->softDeadline(occurrence) - now, occurrence.remainingCriticalPath(job->spec),
-                detail::remainingWork(job->spec, occurrence) });
-            occurrences.emplace_back(job, &occurrence);
+    for (auto* job : this->activeJobs.at(service)) {
+        for (auto& [number, occurrence] : job->activeOccurrences) {
+            active.push_back({ job, &occurrence, LongRunningRank, 0 });
+            if (!job->isLongRunning)
+                jobs.push_back({ job->softDeadline(occurrence) - now, occurrence.remainingCriticalPath(job->spec),
+                    detail::remainingWork(job->spec, occurrence) });
         }
     }
     std::int64_t processor = 0;
-    for (const auto& [id, server] : this->serverMap) {
-        if (server->record.service == service && this->isUsable(*server))
-            processor += server->record.capacity.cpu;
-    }
+    for (const auto* server : candidates)
+        processor += server->record.capacity.cpu;
     const auto inTime = selectOnTimeJobs(jobs, processor);
-    for (std::size_t index = 0; index < jobs.size(); ++index) {
-        const auto& [job, occurrence] = occurrences[index];
-        const auto allowed = job->softDeadline(*occurrence) - occurrence->dueAt;
-        const auto lateLeft = jobs[index].timeLeft + allowed * (maxLateFactor - 1);
-        if (inTime[index])
-            priorities[occurrence] = { InTimeRank, jobs[index].timeLeft.count() };
-        else
-            priorities[occurrence]
-                = { jobs[index].criticalPath <= lateLeft ? LateRank : OverdueRank, jobs[index].work };
+    std::size_t index = 0;
+    for (auto& each : active) {
+        if (each.job->isLongRunning)
+            continue;
+        const auto& job = jobs[index];
+        const auto allowed = each.job->softDeadline(*each.occurrence) - each.occurrence->dueAt;
+        const auto lateLeft = job.timeLeft + allowed * (maxLateFactor - 1);
+        each.rank = inTime[index] ? InTimeRank : job.criticalPath <= lateLeft ? LateRank : OverdueRank;
+        each.order = inTime[index] ? job.timeLeft.count() : job.work;
+        ++index;
     }
-    return priorities;
+    return active;
 }
 
-std::vector<JobScheduler::ReadyStep> JobScheduler::readySteps(const std::string& service)
+std::vector<JobScheduler::ReadyStep> JobScheduler::readySteps(
+    const std::string& service, std::span<Server* const> candidates)
 {
     std::vector<ReadyStep> ready;
     const bool unknownRuns = this->mayHaveUnknownRuns(service);
-    const auto priorities = this->prioritizeOccurrences(service);
-    for (auto* job : this->activeJobs.at(service)) {
-        for (auto& [number, occurrence] : job->activeOccurrences) {
-            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-                const auto& progress = occurrence.steps[step];
-                if (progress.waiting == 0 || !occurrence.isReady(job->spec, step))
-                    continue;
-                if (unknownRuns && this->inheritedJobs.contains(job)) {
-                    this->recordWait(
-                        { job, &occurrence, step, 0, 0 }, "servers of the previous leader have not answered");
-                    continue;
-                }
-                Priority priority { job->spec.steps[step].bestEffort ? BestEffortRank : LongRunningRank, 0 };
-                if (const auto found = priorities.find(&occurrence); found != priorities.end())
-                    priority = found->second;
-                ready.push_back({ job, &occurrence, step, priority.rank, priority.order });
+    for (const auto& [job, occurrence, rank, order] : this->prioritizeOccurrences(service, candidates)) {
+        for (std::size_t step = 0; step < occurrence->steps.size(); ++step) {
+            const auto& progress = occurrence->steps[step];
+            if (progress.waiting == 0 || !occurrence->isReady(job->spec, step))
+                continue;
+            if (unknownRuns && this->inheritedJobs.contains(job)) {
+                this->recordWait({ job, occurrence, step, 0, 0 }, "servers of the previous leader have not answered");
+                continue;
             }
+            const bool isBestEffort = job->isLongRunning && job->spec.steps[step].bestEffort;
+            ready.push_back({ job, occurrence, step, isBestEffort ? BestEffortRank : rank, order });
         }
     }
     std::ranges::sort(ready, [](const ReadyStep& left, const ReadyStep& right) {
@@ -194,16 +189,22 @@
     return ready;
 }
 
+std::vector<Server*> JobScheduler::usableServers(const std::string& service) const
+{
+    std::vector<Server*> usable;
+    const auto servers = this->serviceServers.find(service);
+    if (servers == this->serviceServers.end())
+        return usable;
+    const auto now = this->clock.now();
+    std::ranges::copy_if(servers->second, std::back_inserter(usable),
+        [this, now](const Server* server) { return this->isUsable(*server, now); });
+    return usable;
+}
+
 void JobScheduler::dispatchService(const std::string& service)
 {
-    const auto ready = this->readySteps(service);
-    if (ready.empty())
-        return;
-    std::vector<Server*> candidates;
-    for (auto& [id, server] : this->serverMap) {
-        if (server->record.service == service && this->isUsable(*server))
-            candidates.push_back(server.get());
-    }
+    const auto candidates = this->usableServers(service);
+    const auto ready = this->readySteps(service, candidates);
     if (candidates.empty())
         return;
     for (const auto& step : ready) {
@@ -312,22 +313,17 @@
     std::int64_t bestScore = std::numeric_limits<std::int64_t>::min();
     for (auto* server : candidates) {
         auto free = server->freeCapacity();
-        int planCount = 0;
+        int tasksOfStep = 0;
         if (const auto plan = planned.find(server); plan != planned.end()) {
             free -= plan->second;
-            planCount = need.memory > 0 ? static_cast<int>(plan->second.memory / need.memory) : 0;
+            tasksOfStep = need.memory > 0 ? static_cast<int>(plan->second.memory / need.memory) : 0;
         }
-        if (!need.fitsIn(free) || !hasLabel(server->record, spec.requiredLabel) || !this->isUsable(*server))
+        // A server that is being probed was usable before this dispatch placed a task on it.
+        if (!need.fitsIn(free) || !hasLabel(server->record, spec.requiredLabel)
+            || (server->probing && !server->runs.empty()))
             continue;
-        int tasksOfStep = planCount;
-        int latencySensitive = 0;
-        int bestEffort = 0;
-        for (const auto& [id, run] : server->runs) {
-            tasksOfStep += run.job == ready.job && run.occurrence == ready.occurrence->number
-                && run.step == static_cast<int>(ready.step);
-            latencySensitive += isLatencySensitive(run);
-            bestEffort += isBestEffort(run);
-        }
+        if (spec.maxTasksPerServer > 0 || spec.longRunning)
+            tasksOfStep += countTasksOfStep(*server, ready.job, ready.occurrence->number, ready.step);
         if (spec.maxTasksPerServer > 0 && tasksOfStep >= spec.maxTasksPerServer)
             continue;
         // The weights rank the preferences: data rack, no failed run of the task on the server, no disturbed
@@ -338,9 +334,9 @@
         if (task.avoidedServer == server->record.id)
             score -= 50'000'000;
         if (spec.bestEffort)
-            score -= 10'000'000LL * latencySensitive;
+            score -= 10'000'000LL * server->latencySensitiveRuns;
         if (spec.latencyTarget > Duration(0))
-            score -= 10'000'000LL * bestEffort + 1'000'000LL * latencySensitive;
+            score -= 10'000'000LL * server->bestEffortRuns + 1'000'000LL * server->latencySensitiveRuns;
         if (spec.longRunning)
             score -= 2'000'000LL * tasksOfStep + (server->maintenancePending ? 5'000'000LL : 0);
         if (score > bestScore) {
--- a/src/job/reports.cpp
+++ b/src/job/reports.cpp
@@ -57,7 +57,11 @@
     } else if (task && !job->isOver()) {
         this->applyUnknownEnd(*job, *task, ended);
     }
-    server.unacknowledgedEnds.push_back({ ended.number, job && job->changeSequence != 0 ? job->changeSequence : 0 });
+    // An end that changes nothing may repeat one whose effect is only now being stored.
+    const auto changeSequence = job && job->changeSequence != 0 ? job->changeSequence : this->inFlightSequence;
+    server.unacknowledgedEnds.push_back({ ended.number, changeSequence });
+    if (!std::exchange(server.isInUnstoredList, true))
+        this->unstoredServers.push_back(&server);
 }
 
 // Applies the end of a run that an earlier leader started, or that was abandoned because its server was unreachable.
@@ -109,12 +113,11 @@
 void JobScheduler::releaseRun(Server& server, std::map<TaskId, Run>::iterator run)
 {
     const auto& state = run->second;
-    server.allocated -= state.reserved;
     this->teamAllocations[state.job->spec.team] -= state.spec().taskResources;
     state.task->server = nullptr;
     setPhase(state.progress(), *state.task, TaskPhase::Waiting);
     this->changedServices.insert(state.job->service);
-    server.runs.erase(run);
+    server.removeRun(run);
 }
 
 void JobScheduler::completeTask(JobRecord& job, const TaskId& id, Task& task)
@@ -128,14 +131,11 @@
     if (spec.gang) {
         // The end of one member completes the whole gang. The ends of the other members are reported too, but need not
         // be awaited.
-        for (auto& [serverId, server] : this->serverMap) {
-            for (auto run = server->runs.begin(); run != server->runs.end();) {
-                const auto current = run++;
-                const auto& other = current->first;
-                if (other.job == id.job && other.occurrence == id.occurrence && other.step == id.step)
-                    this->releaseRun(*server, current);
-            }
-        }
+        forEachRun(job, [this, &id](Server& server, auto run) {
+            const auto& other = run->first;
+            if (other.occurrence == id.occurrence && other.step == id.step)
+                this->releaseRun(server, run);
+        });
         for (auto& member : step.tasks)
             setPhase(step, member, TaskPhase::Done);
     }
@@ -218,10 +218,9 @@
     if (!running.checkpoint.empty())
         task->checkpoint = running.checkpoint;
     const auto reserved = reservedResources(spec);
-    server.allocated += reserved;
     this->teamAllocations[job->spec.team] += spec.taskResources;
-    server.runs.insert_or_assign(running.task,
-        Run { job, running.task.occurrence, running.task.step, task, running.run, reserved, running.load });
+    server.addRun(
+        running.task, { job, running.task.occurrence, running.task.step, task, running.run, reserved, running.load });
     if (job->state == JobStatus::Pending) {
         job->state = JobStatus::Running;
         this->markUnsaved(*job);
@@ -260,14 +259,15 @@
 {
     if (report.ended.size() >= maxEndsPerReport)
         return;
-    std::set<std::pair<TaskId, int>> reported;
-    for (const auto& running : report.running)
-        reported.emplace(running.task, running.run);
-    this->dropOrphans(server, [&reported](const TaskId& id, int run) { return !reported.contains({ id, run }); });
+    const auto isReported = [&report](const TaskId& id, int run) {
+        return std::ranges::any_of(
+            report.running, [&](const RunningTask& running) { return running.run == run && running.task == id; });
+    };
+    this->dropOrphans(server, [&isReported](const TaskId& id, int run) { return !isReported(id, run); });
     for (auto run = server.runs.begin(); run != server.runs.end();) {
         const auto current = run++;
         auto& task = *current->second.task;
-        if (reported.contains({ current->first, current->second.number }) || sentAt <= task.confirmedAt)
+        if (sentAt <= task.confirmedAt || isReported(current->first, current->second.number))
             continue;
         if (task.phase == TaskPhase::Unconfirmed)
             this->requestStop(server, current->first, current->second, "its start was not answered");
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -1,5 +1,7 @@
 // JobScheduler: configuration, jobs, and storing of progress.
 #include "job/scheduler.h"
+#include "job/bounded-transaction.h"
+#include "job/leadership.h"
 
 #include <algorithm>
 
@@ -54,6 +56,17 @@
     return need;
 }
 
+namespace {
+
+    // Size of the condition and the write of one job in an encoded transaction.
+    std::size_t progressEncodedSize(const std::string& job, std::size_t textBytes)
+    {
+        const RowName name { "progress", Leadership::part, job };
+        return encodedSize(name, 0) + encodedSize(name, textBytes);
+    }
+
+} // namespace
+
 JobScheduler::JobScheduler(JobSchedulerRules schedulerRules, Clock source, JobSchedulerHooks schedulerHooks)
     : rules(schedulerRules)
     , clock(std::move(source))
@@ -140,14 +153,19 @@
     return job.changeSequence;
 }
 
-std::vector<ProgressWrite> JobScheduler::takeUnsavedProgress(std::size_t maxCount)
+std::vector<ProgressWrite> JobScheduler::takeUnsavedProgress(std::size_t maxCount, std::size_t maxBytes)
 {
     std::vector<ProgressWrite> batch;
+    std::size_t bytes = 0;
     while (batch.size() < maxCount && !this->unsaved.empty()) {
-        const auto [ticket, job] = *this->unsaved.begin();
+        const auto [sequence, job] = *this->unsaved.begin();
+        auto text = detail::JobTable::save(*job);
+        bytes += progressEncodedSize(job->spec.id, text.size());
+        if (bytes > maxBytes)
+            break;
         this->unsaved.erase(this->unsaved.begin());
         job->changeSequence = 0;
-        batch.push_back({ job->spec.id, detail::JobTable::save(*job), job->rowVersion, ticket });
+        batch.push_back({ job->spec.id, std::move(text), job->rowVersion, sequence });
     }
     if (!batch.empty())
         this->inFlightSequence = batch.front().changeSequence;
@@ -184,23 +202,67 @@
         job->rowVersion = rowVersion;
 }
 
-void JobScheduler::acknowledgeStoredEnds()
+std::uint64_t JobScheduler::storedSequence() const
 {
     auto storedThrough = this->lastChangeSequence;
     if (!this->unsaved.empty())
         storedThrough = std::min(storedThrough, this->unsaved.begin()->first - 1);
     if (this->inFlightSequence != 0)
         storedThrough = std::min(storedThrough, this->inFlightSequence - 1);
-    for (auto& [id, server] : this->serverMap) {
-        auto& waiting = server->unacknowledgedEnds;
-        while (!waiting.empty() && waiting.front().changeSequence <= storedThrough) {
-            server->lastStoredEnd = waiting.front().number;
-            waiting.pop_front();
-            server->nextRenewalAt = this->clock.now();
+    return storedThrough;
+}
+
+void JobScheduler::acknowledgeStoredEnds(Server& server, std::uint64_t storedThrough)
+{
+    auto& waiting = server.unacknowledgedEnds;
+    if (waiting.empty() || waiting.front().changeSequence > storedThrough)
+        return;
+    while (!waiting.empty() && waiting.front().changeSequence <= storedThrough) {
+        server.lastStoredEnd = waiting.front().number;
+        waiting.pop_front();
+    }
+    this->scheduleRenewal(server, this->clock.now());
+}
+
+void JobScheduler::acknowledgeStoredEnds()
+{
+    const auto storedThrough = this->storedSequence();
+    std::erase_if(this->unstoredServers, [this, storedThrough](Server* server) {
+        this->acknowledgeStoredEnds(*server, storedThrough);
+        server->isInUnstoredList = !server->unacknowledgedEnds.empty();
+        return !server->isInUnstoredList;
+    });
+}
+
+// A task with a run on a server belongs to an active occurrence, so the servers need not be searched.
+void JobScheduler::forEachRun(
+    JobRecord& job, const std::function<void(Server&, std::map<TaskId, detail::Run>::iterator)>& visit)
+{
+    for (auto& [number, occurrence] : job.activeOccurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            auto& tasks = occurrence.steps[step].tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                auto* server = tasks[index].server;
+                if (!server)
+                    continue;
+                const auto run
+                    = server->runs.find({ job.spec.id, number, static_cast<int>(step), static_cast<int>(index) });
+                if (run != server->runs.end())
+                    visit(*server, run);
+            }
         }
     }
 }
 
+bool JobScheduler::hasRuns(const JobRecord& job)
+{
+    return std::ranges::any_of(job.activeOccurrences, [](const auto& entry) {
+        return std::ranges::any_of(entry.second.steps, [](const auto& step) {
+            return std::ranges::any_of(step.tasks, [](const auto& task) { return task.server != nullptr; });
+        });
+    });
+}
+
 void JobScheduler::finishJob(JobRecord& job, JobStatus state, std::string_view reason)
 {
     job.state = state;
@@ -209,12 +271,8 @@
     this->activeJobs[job.service].erase(&job);
     this->markUnsaved(job);
     this->hooks.log("job ended", { { "job", job.spec.id }, { "state", jobStatusName(state) }, { "reason", reason } });
-    for (auto& [serverId, server] : this->serverMap) {
-        for (auto& [id, run] : server->runs) {
-            if (run.job == &job)
-                this->requestStop(*server, id, run, "its job has ended");
-        }
-    }
+    forEachRun(job,
+        [this](Server& server, auto run) { this->requestStop(server, run->first, run->second, "its job has ended"); });
 }
 
 void JobScheduler::activateDueOccurrences()
@@ -237,10 +295,7 @@
         auto* job = *place;
         if (now - job->endedAt <= this->rules.endedJobRetention)
             break;
-        const auto runsOn = [job](const auto& entry) {
-            return std::ranges::any_of(entry.second->runs, [job](const auto& run) { return run.second.job == job; });
-        };
-        if (job->changeSequence != 0 || this->inFlightSequence != 0 || std::ranges::any_of(this->serverMap, runsOn)) {
+        if (job->changeSequence != 0 || this->inFlightSequence != 0 || hasRuns(*job)) {
             ++place;
             continue;
         }
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -13,6 +13,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -107,7 +108,9 @@
     void tick();
 
     // Write progress to the store. At most one batch is in flight; progressSaved() or progressNotSaved() completes it.
-    std::vector<ProgressWrite> takeUnsavedProgress(std::size_t maxCount);
+    // `maxBytes` bounds the encoded size of the batch.
+    std::vector<ProgressWrite> takeUnsavedProgress(
+        std::size_t maxCount, std::size_t maxBytes = std::numeric_limits<std::size_t>::max());
     void progressSaved(std::span<const ProgressWrite> batch, std::uint64_t rowVersion);
     void progressNotSaved(std::span<const ProgressWrite> batch);
     // Sets the actual version of a job's progress row after a write failed with a version conflict.
@@ -162,8 +165,10 @@
         int rank = 0;
         std::int64_t order = 0;
     };
-    // Dispatch priority of an occurrence relative to others; smaller values start first.
-    struct Priority {
+    // An active occurrence and its dispatch priority relative to others; smaller ranks and orders start first.
+    struct ActiveOccurrence {
+        detail::JobRecord* job = nullptr;
+        detail::Occurrence* occurrence = nullptr;
         int rank = 0;
         std::int64_t order = 0;
     };
@@ -171,13 +176,23 @@
     // scheduler.cpp
     void applyQueueSettings(detail::JobRecord& job);
     std::uint64_t markUnsaved(detail::JobRecord& job);
+    // All changes up to this sequence number are stored.
+    std::uint64_t storedSequence() const;
+    void acknowledgeStoredEnds(detail::Server& server, std::uint64_t storedThrough);
     void acknowledgeStoredEnds();
+    // Calls `visit` for each run of the job's tasks. `visit` may end the run.
+    static void forEachRun(detail::JobRecord& job,
+        const std::function<void(detail::Server&, std::map<TaskId, detail::Run>::iterator)>& visit);
+    static bool hasRuns(const detail::JobRecord& job);
     void finishJob(detail::JobRecord& job, JobStatus state, std::string_view reason);
     void activateDueOccurrences();
 
     // servers.cpp
     void updateRecord(detail::Server& server, ServerRecord record);
+    detail::Server& createServer(const ServerRecord& record);
     void removeFromMachine(detail::Server& server);
+    void removeFromService(detail::Server& server);
+    void removeFromIndexes(detail::Server& server);
     // Returns an empty span for an unknown machine.
     std::span<detail::Server* const> serversOn(std::string_view machine) const;
     void endEarlierIncarnations(const detail::Server& latest);
@@ -191,6 +206,7 @@
     void requestStop(detail::Server& server, const TaskId& id, detail::Run& run, std::string_view reason);
     void sendStop(detail::Server& server, const TaskId& id, detail::Run& run);
     void sendRenewal(detail::Server& server);
+    void scheduleRenewal(detail::Server& server, TimePoint at);
     void sendDueRenewals();
     void resendStops();
     void reportSuperseded(const detail::Server& server);
@@ -231,11 +247,13 @@
     void dispatchService(const std::string& service);
     void placeStep(const ReadyStep& ready, std::span<detail::Server* const> candidates);
     void placeGang(const ReadyStep& ready, std::span<detail::Server* const> candidates);
-    std::map<const detail::Occurrence*, Priority> prioritizeOccurrences(const std::string& service) const;
-    std::vector<ReadyStep> readySteps(const std::string& service);
+    std::vector<detail::Server*> usableServers(const std::string& service) const;
+    std::vector<ActiveOccurrence> prioritizeOccurrences(
+        const std::string& service, std::span<detail::Server* const> candidates) const;
+    std::vector<ReadyStep> readySteps(const std::string& service, std::span<detail::Server* const> candidates);
     detail::Server* chooseServer(const ReadyStep& ready, const detail::Task& task,
         std::span<detail::Server* const> candidates, const std::map<const detail::Server*, Resources>& planned) const;
-    bool isUsable(const detail::Server& server) const;
+    bool isUsable(const detail::Server& server, TimePoint now) const;
     std::map<std::string, Resources> maxUnknownUse() const;
     bool fitsTeamLimit(const detail::JobRecord& job, const Resources& need) const;
     bool mayHaveUnknownRuns(const std::string& service) const;
@@ -249,6 +267,13 @@
     std::shared_ptr<const FleetConfig> config;
     detail::JobTable jobTable;
     detail::ServerMap serverMap;
+    // Servers by service, ordered by id.
+    std::map<std::string, std::vector<detail::Server*>, std::less<>> serviceServers;
+    // Servers without a renewal in flight, by the time of their next one.
+    std::map<std::pair<TimePoint, std::uint64_t>, detail::Server*> renewalQueue;
+    std::uint64_t lastServerSerial = 0;
+    // Servers with unacknowledged ends.
+    std::vector<detail::Server*> unstoredServers;
     // Servers by machine, including earlier incarnations. Maintenance and the pool mover look up every machine in each
     // tick.
     std::unordered_map<std::string, std::vector<detail::Server*>> machineServers;
@@ -279,6 +304,8 @@
     std::map<std::string, std::deque<Arrival>, std::less<>> arrivals;
     std::set<std::string> maintenancePendingMachines;
     std::set<std::string> cordonedMachines;
+    // A server in use may lack its record; false: the servers need not be searched.
+    bool mayLackUseRecords = false;
     // Servers whose use record is to be removed from the store.
     std::vector<std::string> removedServers;
 };
--- a/src/job/server-table.h
+++ b/src/job/server-table.h
@@ -25,6 +25,8 @@
     // Latest reported tail latency of a task that serves users.
     std::int64_t latencyMs = 0;
 
+    bool isLatencySensitive() const { return this->spec().latencyTarget > Duration(0); }
+    bool isBestEffort() const { return this->spec().bestEffort; }
     const StepSpec& spec() const { return this->job->spec.steps[static_cast<std::size_t>(this->step)]; }
     StepProgress& progress() const
     {
@@ -68,6 +70,9 @@
     int missedRenewals = 0; // consecutive, since the last answer
     TimePoint unresponsiveSince; // time of the first missed renewal; for an inherited server, the start of the term
     TimePoint nextRenewalAt;
+    // Order in which servers became known; breaks ties between renewals that are due at the same time.
+    std::uint64_t serial = 0;
+    bool isInUnstoredList = false; // listed as a server with unacknowledged ends
     TimePoint incarnationSeenAt; // when this leader noticed that the incarnation started, if it did
     TimePoint lastReportAt; // when the last report arrived
     ServerClock reportClock = 0;
@@ -77,7 +82,10 @@
     std::uint64_t lastStoredEnd = 0;
     std::deque<UnacknowledgedEnd> unacknowledgedEnds;
     Resources allocated;
+    // Changed only by addRun() and removeRun(), which keep the counts below.
     std::map<TaskId, Run> runs;
+    int latencySensitiveRuns = 0;
+    int bestEffortRuns = 0;
     // Orphaned runs, which are being stopped. No task is placed on the server, and they count against their team's
     // limit, until a report no longer lists them.
     std::map<TaskId, OrphanedRun> orphans;
@@ -101,6 +109,9 @@
     ServerClock minClockAt(TimePoint now) const;
     bool isLeaseExpired(TimePoint now) const;
     Resources freeCapacity() const { return this->record.capacity - this->allocated; }
+    // Adds a run of a task that has none on this server, and reserves its resources.
+    void addRun(const TaskId& id, const Run& run);
+    void removeRun(std::map<TaskId, Run>::iterator run);
 };
 
 // Minimum rate of a backend server's clock relative to ours, in thousandths. The platform's contract allows a clock
@@ -119,6 +130,22 @@
     return this->fenceConfirmed && this->minClockAt(now) > this->leaseUntil + clockMarginMs;
 }
 
+inline void Server::addRun(const TaskId& id, const Run& run)
+{
+    this->allocated += run.reserved;
+    this->latencySensitiveRuns += run.isLatencySensitive();
+    this->bestEffortRuns += run.isBestEffort();
+    this->runs.emplace(id, run);
+}
+
+inline void Server::removeRun(std::map<TaskId, Run>::iterator run)
+{
+    this->allocated -= run->second.reserved;
+    this->latencySensitiveRuns -= run->second.isLatencySensitive();
+    this->bestEffortRuns -= run->second.isBestEffort();
+    this->runs.erase(run);
+}
+
 using ServerMap = std::map<std::string, std::unique_ptr<Server>, std::less<>>;
 
 } // namespace waxwinglug::detail
--- a/src/job/servers.cpp
+++ b/src/job/servers.cpp
@@ -16,9 +16,25 @@
 
 } // namespace
 
-// Replaces the server's record and updates the index of servers by machine.
+// Adds a server that is not known yet; its first renewal is due at once.
+Server& JobScheduler::createServer(const ServerRecord& record)
+{
+    auto& server = *this->serverMap.emplace(record.id, std::make_unique<Server>()).first->second;
+    server.serial = ++this->lastServerSerial;
+    this->scheduleRenewal(server, TimePoint {});
+    return server;
+}
+
+// Replaces the server's record and updates the indexes of servers by service and by machine.
 void JobScheduler::updateRecord(Server& server, ServerRecord record)
 {
+    if (server.record.service != record.service) {
+        this->removeFromService(server);
+        auto& others = this->serviceServers[record.service];
+        others.insert(std::ranges::lower_bound(others, record.id, {},
+                          [](const Server* other) -> const std::string& { return other->record.id; }),
+            &server);
+    }
     if (server.record.machine != record.machine) {
         this->removeFromMachine(server);
         this->machineServers[record.machine].push_back(&server);
@@ -38,25 +54,27 @@
 
 void JobScheduler::addServer(ServerRecord record)
 {
-    auto& place = this->serverMap[record.id];
-    if (!place) {
-        place = std::make_unique<Server>();
+    const auto place = this->serverMap.find(record.id);
+    const bool isNew = place == this->serverMap.end();
+    auto& server = isNew ? this->createServer(record) : *place->second;
+    if (isNew) {
         this->hooks.log("backend server listed",
             { { "server", record.id }, { "service", record.service }, { "machine", record.machine },
                 { "rack", record.rack } });
-    } else if (record.startedAt < place->record.startedAt) {
+    } else if (record.startedAt < server.record.startedAt) {
         return; // a row of an earlier incarnation
-    } else if (record.startedAt > place->record.startedAt) {
-        this->beginIncarnation(*place);
+    } else if (record.startedAt > server.record.startedAt) {
+        this->beginIncarnation(server);
     }
-    if (record.draining && !place->record.draining)
+    if (record.draining && !server.record.draining)
         this->hooks.log("backend server drains", { { "server", record.id } });
-    this->updateRecord(*place, std::move(record));
-    place->registered = true;
-    const auto& added = place->record;
-    place->cordoned = this->cordonedMachines.contains(added.machine);
-    place->maintenancePending = this->maintenancePendingMachines.contains(added.machine);
-    this->endEarlierIncarnations(*place);
+    this->updateRecord(server, std::move(record));
+    server.registered = true;
+    this->mayLackUseRecords = true;
+    const auto& added = server.record;
+    server.cordoned = this->cordonedMachines.contains(added.machine);
+    server.maintenancePending = this->maintenancePendingMachines.contains(added.machine);
+    this->endEarlierIncarnations(server);
     this->changedServices.insert(added.service);
 }
 
@@ -81,6 +99,26 @@
     return place == this->machineServers.end() ? std::span<Server* const> {} : std::span(place->second);
 }
 
+void JobScheduler::removeFromService(Server& server)
+{
+    const auto place = this->serviceServers.find(server.record.service);
+    if (place == this->serviceServers.end())
+        return;
+    std::erase(place->second, &server);
+    if (place->second.empty())
+        this->serviceServers.erase(place);
+}
+
+// Called before the server is erased.
+void JobScheduler::removeFromIndexes(Server& server)
+{
+    this->removeFromMachine(server);
+    this->removeFromService(server);
+    this->renewalQueue.erase({ server.nextRenewalAt, server.serial });
+    if (server.isInUnstoredList)
+        std::erase(this->unstoredServers, &server);
+}
+
 void JobScheduler::addServerInUse(const ServerRecord& record)
 {
     const auto* later = record.machine.empty() ? nullptr : this->serverOnMachine(record.machine);
@@ -88,23 +126,24 @@
         this->removedServers.push_back(record.id);
         return;
     }
-    auto& place = this->serverMap[record.id];
-    if (!place) {
-        place = std::make_unique<Server>();
-        this->updateRecord(*place, record);
-        place->registered = false;
+    const auto place = this->serverMap.find(record.id);
+    const bool isNew = place == this->serverMap.end();
+    auto& server = isNew ? this->createServer(record) : *place->second;
+    if (isNew) {
+        this->updateRecord(server, record);
+        server.registered = false;
     }
-    place->useRecorded = place->record.startedAt == record.startedAt;
-    place->inherited = true;
-    place->unresponsiveSince = this->termStartedAt;
+    server.useRecorded = server.record.startedAt == record.startedAt;
+    server.inherited = true;
+    server.unresponsiveSince = this->termStartedAt;
 }
 
 bool JobScheduler::waitsForUnresponsiveServer() const
 {
-    return std::ranges::any_of(this->serverMap, [this](const auto& entry) {
+    const bool mayBeInherited = this->clock.now() - this->termStartedAt <= this->rules.maxInheritedLease;
+    return std::ranges::any_of(this->serverMap, [mayBeInherited](const auto& entry) {
         const auto& server = *entry.second;
-        const bool mayRun
-            = server.inherited && this->clock.now() - this->termStartedAt <= this->rules.maxInheritedLease;
+        const bool mayRun = server.inherited && mayBeInherited;
         return !server.removed && !server.isReachable() && (mayRun || !server.runs.empty());
     });
 }
@@ -150,9 +189,14 @@
             changes.push_back({ this->removedServers.back(), std::nullopt });
         this->removedServers.pop_back();
     }
+    if (!this->mayLackUseRecords)
+        return changes;
+    this->mayLackUseRecords = false;
     for (const auto& [id, server] : this->serverMap) {
-        if (changes.size() >= maxCount)
+        if (changes.size() >= maxCount) {
+            this->mayLackUseRecords = true;
             break;
+        }
         if (!server->useRecorded && server->isReachable() && server->registered)
             changes.push_back({ id, server->record });
     }
@@ -175,6 +219,8 @@
     for (const auto& change : failed) {
         if (!change.record)
             this->removedServers.push_back(change.server);
+        else
+            this->mayLackUseRecords = true;
     }
 }
 
@@ -272,7 +318,7 @@
             || (!server.registered && server.runs.empty() && server.missedRenewals > 0 && !server.inherited
                 && !server.renewing);
         if (isErasable) {
-            this->removeFromMachine(*entry.second);
+            this->removeFromIndexes(*entry.second);
             this->removedServers.push_back(entry.first);
         }
         return isErasable;
--- a/src/process/allotment-table.cpp
+++ b/src/process/allotment-table.cpp
@@ -274,6 +274,7 @@
             this->adoptRow(resource, row);
         break;
     case CommitStatus::Unavailable:
+    case CommitStatus::Rejected:
         this->onTableFailure();
         break;
     case CommitStatus::Unknown:
--- a/src/request/at-most-once.cpp
+++ b/src/request/at-most-once.cpp
@@ -240,6 +240,7 @@
         this->resolveBatch(batch, result.conflicts);
         break;
     case CommitStatus::Unavailable:
+    case CommitStatus::Rejected:
         this->onUnavailable(batch);
         break;
     }
--- a/test/job/leadership-test.cpp
+++ b/test/job/leadership-test.cpp
@@ -272,4 +272,29 @@
     EXPECT_FALSE(this->second.shouldAcquire()) << "a failed commit says nothing about the leader";
 }
 
+// Load: all VMs of a fleet of hundreds get their first configuration at the same time, seconds after their start.
+// Guards against a small VM that becomes the leader because every VM tries at once.
+TEST_F(LeadershipTest, largestVmLeadsFirstAfterALateConfiguration)
+{
+    Leadership large({}, this->clock.clock(), "large", 500, this->random);
+    Leadership small({}, this->clock.clock(), "small", 120, this->random);
+    for (int read = 0; read < 5; ++read) {
+        this->clock.advance(Duration(1000));
+        large.observe(this->store.list());
+        small.observe(this->store.list());
+    }
+    small.becomeCandidate();
+    this->clock.advance(Duration(60)); // the large VM started a little later
+    large.becomeCandidate();
+    for (int tick = 0; tick < 20 && !large.isLeader(); ++tick) {
+        this->clock.advance(Duration(20));
+        large.storeAnswered();
+        small.storeAnswered();
+        ASSERT_FALSE(small.shouldAcquire()) << "after " << tick << " intervals";
+        if (large.shouldAcquire())
+            large.acquireAnswered(this->store.commit(large.acquire()));
+    }
+    EXPECT_TRUE(large.isLeader());
+}
+
 } // namespace waxwinglug
--- a/test/support/scheduling-load.cpp
+++ b/test/support/scheduling-load.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-SchedulingLoad::SchedulingLoad()
+SchedulingLoad::SchedulingLoad(int serversPerService)
 {
     JobSchedulerHooks hooks;
     hooks.start = [this](const ServerRecord& record, const StartOrder& order) {
@@ -46,10 +46,10 @@
         fleet.services.push_back({ serviceName(service), false, false });
     }
     this->scheduler->setConfig(std::make_shared<FleetConfig>(fleet));
-    this->addServers();
+    this->addServers(serversPerService);
 }
 
-void SchedulingLoad::addServers()
+void SchedulingLoad::addServers(int serversPerService)
 {
     for (int service = 0; service < services; ++service) {
         for (int number = 0; number < serversPerService; ++number) {
@@ -130,6 +130,8 @@
 
 void SchedulingLoad::store()
 {
+    if (!this->isStoreAvailable)
+        return;
     const auto batch = this->scheduler->takeUnsavedProgress(40);
     this->scheduler->progressSaved(batch, 1);
 }
--- a/test/support/scheduling-load.h
+++ b/test/support/scheduling-load.h
@@ -1,5 +1,5 @@
-// Simulated fleet at the size of the grown deployments, whose servers answer immediately. Used to count and time the
-// scheduler's work per task.
+// Simulated fleet, by default at the size of the grown deployments, whose servers answer immediately. Used to count and
+// time the scheduler's work per task.
 //
 // Load: four services whose queues peak in turn for 4.5 s at about four times their mean.
 #pragma once
@@ -19,9 +19,8 @@
 class SchedulingLoad {
 public:
     static constexpr int services = 4;
-    static constexpr int serversPerService = 85;
 
-    SchedulingLoad();
+    explicit SchedulingLoad(int serversPerService = 85);
 
     // Advances the clock by 5 ms: jobs arrive, tasks end, servers report, and changes are stored.
     void step();
@@ -31,6 +30,9 @@
     std::uint64_t starts() const { return this->startCount; }
     std::uint64_t renewals() const { return this->renewalCount; }
     std::size_t unfinishedJobs() const;
+    // Stops or resumes the storing of progress, as an unavailable store does.
+    void setStoreAvailable(bool available) { this->isStoreAvailable = available; }
+    JobScheduler& jobScheduler() { return *this->scheduler; }
 
 private:
     struct Run {
@@ -46,7 +48,7 @@
         TimePoint renewSentAt;
     };
 
-    void addServers();
+    void addServers(int serversPerService);
     void addJob(int service);
     void addArrivals();
     void advanceServers();
@@ -56,6 +58,7 @@
     ManualClock manual;
     Random random { 1 };
     int rate = 60;
+    bool isStoreAvailable = true;
     std::int64_t dueMilliJobs = 0; // thousandths of a job that are due to arrive
     std::uint64_t jobs = 0;
     std::uint64_t startCount = 0;
