Let large entry VMs relay the leader's orders to backend servers

Change: the leader selects large VMs, at most some per data centre in turn, and exchanges batches of orders and results with them; a relay calls the servers. An order whose relay fails or whose result is late is unanswered, which the scheduler handles as before; fences and short validity void it. VMs register themselves in the table vm.

--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -5,7 +5,9 @@
 #include "io/process/job-gateway.h"
 #include "io/process/leader-session.h"
 #include "io/process/log.h"
+#include "io/process/order-relay.h"
 #include "io/process/table-follower.h"
+#include "io/process/tables.h"
 #include "job/leadership.h"
 
 #include <waxwinglug/metrics.h>
@@ -32,6 +34,8 @@
     // Part of the shutdown grace period that is reserved for ending the process.
     constexpr Duration exitReserve { 700 };
     constexpr Duration acquireTimeout { 800 };
+    // Upper bound of the random delay before a VM registers itself, and registers again after a failure.
+    constexpr Duration maxRegistrationDelay { 1000 };
     // Limit per event. Each decision about a request or a task is logged, and a leader starts several hundred tasks a
     // second. A line takes about 10 us of processor time.
     constexpr int maxLogLinesPerSecond = 400;
@@ -77,10 +81,13 @@
         , random(seededRandom())
         , httpClient(this->context, this->clock)
         , platform(connect(this->httpClient))
+        , relay(std::make_shared<OrderRelay>(
+              this->context, this->platform.servers, this->settings.name, this->clock, this->logHook()))
         , leadership({}, this->clock, this->settings.name, this->settings.processorMillicores, this->random)
         , gateway(this->context, this->platform, this->clock, this->metrics, this->gatewayHooks())
         , signals(this->context, SIGTERM, SIGINT, SIGHUP)
         , tickTimer(this->context)
+        , registrationTimer(this->context)
         , storeAnsweredAt(this->clock.now())
     {
     }
@@ -146,10 +153,14 @@
         };
         this->healthServer = std::make_unique<CallerServer>(
             this->context, this->settings.health, CallerLimits {}, this->serverHooks(answerHealth));
-        const auto answerOperators
-            = [this](const HttpRequest& request, const Respond& respond) { respond(this->answerOperator(request)); };
+        const auto answerOperators = [this](const HttpRequest& request, const Respond& respond) {
+            if (!this->relay->handle(request, respond))
+                respond(this->answerOperator(request));
+        };
+        auto operatorHooks = this->serverHooks(answerOperators);
+        operatorHooks.bodyLimitBytes = [](std::string_view) { return maxRelayMessageBytes; };
         this->operatorServer = std::make_unique<CallerServer>(
-            this->context, this->settings.operators, CallerLimits {}, this->serverHooks(answerOperators));
+            this->context, this->settings.operators, CallerLimits {}, std::move(operatorHooks));
     }
 
     HttpResponse answerOperator(const HttpRequest& request)
@@ -214,8 +225,10 @@
             return;
         this->log.info("configuration is in force",
             { { "version", next.version }, { "queues", next.queues.size() }, { "teams", next.teams.size() } });
-        if (!this->config)
+        if (!this->config) {
             this->leadership.becomeCandidate();
+            this->registerVm();
+        }
         this->config = std::make_shared<const FleetConfig>(std::move(next));
         if (this->session)
             this->session->setConfig(this->config);
@@ -228,6 +241,30 @@
             this->session->addWave(wave);
     }
 
+    // Registers this VM as a possible relay. Hundreds of VMs start at the same time, so each waits for a random time.
+    void registerVm()
+    {
+        this->registrationTimer.expires_after(
+            Duration(std::uniform_int_distribution<std::int64_t>(0, maxRegistrationDelay.count())(this->random)));
+        this->registrationTimer.async_wait([this](const boost::system::error_code& error) {
+            if (!error)
+                this->writeVmRow();
+        });
+    }
+
+    void writeVmRow()
+    {
+        const EntryVm vm { this->settings.name, this->settings.dataCentre, this->settings.operators,
+            this->settings.processorMillicores };
+        RowTransaction transaction;
+        transaction.writes.push_back(
+            { { tables::entryVms, tables::entryVmPart, this->settings.name }, Json(vm).dump() });
+        this->platform.store.commit(std::move(transaction), acquireTimeout, [this](const TransactionResult& result) {
+            if (result.status != CommitStatus::Committed && !this->isStopping)
+                this->registerVm();
+        });
+    }
+
     void followLeadership()
     {
         this->leadershipFollower = std::make_unique<TableFollower>(this->context, this->platform.store,
@@ -270,8 +307,9 @@
         LeaderSessionHooks hooks;
         hooks.onEnded = [this] { this->session.reset(); };
         hooks.log = this->logHook();
-        this->session = std::make_shared<LeaderSession>(this->context, this->platform, this->leadership, rules,
-            maintenanceRules, this->clock, this->config, std::move(hooks));
+        RelaySelection relays(RelayRules {}, this->settings.name, this->settings.processorMillicores);
+        this->session = std::make_shared<LeaderSession>(this->context, this->httpClient, this->platform,
+            std::move(relays), this->leadership, rules, maintenanceRules, this->clock, this->config, std::move(hooks));
         for (const auto& [number, wave] : this->waves)
             this->session->addWave(wave);
         this->session->start();
@@ -332,10 +370,12 @@
     boost::asio::io_context context { 1 };
     AsyncHttpClient httpClient;
     const FleetPlatform platform;
+    const std::shared_ptr<OrderRelay> relay;
     Leadership leadership;
     JobGateway gateway;
     boost::asio::signal_set signals;
     boost::asio::steady_timer tickTimer;
+    boost::asio::steady_timer registrationTimer;
     std::unique_ptr<CallerServer> callerServer;
     std::unique_ptr<CallerServer> healthServer;
     std::unique_ptr<CallerServer> operatorServer;
--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -19,6 +19,9 @@
     // How long a node that reaches few servers does not acquire leadership again. Longer than most partitions between
     // data centres; if no other VM becomes the leader, this one does so after the heartbeat timeout.
     constexpr Duration partitionedCandidacyPause { 6000 };
+    constexpr Duration relaySelectionInterval { 500 };
+    // How long a new leader waits for the first answers of its relays before it calls servers itself.
+    constexpr Duration maxRelayWait { 400 };
     // Key of the row with the initial pool sizes in the maintenance table; the other keys are wave numbers.
     constexpr const char* poolSizesKey = "pools";
 
@@ -26,14 +29,18 @@
 
 } // namespace
 
-LeaderSession::LeaderSession(boost::asio::io_context& io, const FleetPlatform& fleetPlatform,
-    Leadership& nodeLeadership, JobSchedulerRules rules, MachineMaintenanceRules maintenanceRules, Clock source,
-    std::shared_ptr<const FleetConfig> config, LeaderSessionHooks sessionHooks)
+LeaderSession::LeaderSession(boost::asio::io_context& io, AsyncHttpClient& client, const FleetPlatform& fleetPlatform,
+    RelaySelection relays, Leadership& nodeLeadership, JobSchedulerRules rules,
+    MachineMaintenanceRules maintenanceRules, Clock source, std::shared_ptr<const FleetConfig> config,
+    LeaderSessionHooks sessionHooks)
     : context(io)
     , platform(fleetPlatform)
     , leadership(nodeLeadership)
     , clock(source)
     , hooks(std::move(sessionHooks))
+    , relayedServers(std::make_shared<RelayedServers>(
+          io, client, fleetPlatform.servers, std::move(relays), rules.fence, source, this->relayHooks()))
+    , servers(this->relayedServers->calls())
     , jobScheduler(rules, source, this->schedulerHooks())
     , machineMaintenance(this->jobScheduler, this->machineList, maintenanceRules, source, this->maintenanceHooks())
     , poolMover(this->jobScheduler, this->machineList, PoolRules {}, maintenanceRules.initialQuietPeriod, source,
@@ -45,28 +52,36 @@
     this->jobScheduler.setConfig(std::move(config));
 }
 
+RelayedServersHooks LeaderSession::relayHooks()
+{
+    RelayedServersHooks relay;
+    relay.onSuperseded = [this] { this->end("a relay has received orders of a later term"); };
+    relay.log = this->hooks.log;
+    return relay;
+}
+
 JobSchedulerHooks LeaderSession::schedulerHooks()
 {
     JobSchedulerHooks scheduler;
     scheduler.start = [this](const ServerRecord& server, const StartOrder& order) {
-        this->platform.servers.start(server, order,
+        this->servers.start(server, order,
             this->guarded([this, id = server.id, task = order.task, run = order.run](OrderStatus status) {
                 this->jobScheduler.startAnswered(id, task, run, status);
                 this->scheduleDispatch();
             }));
     };
     scheduler.stop = [this](const ServerRecord& server, const StopOrder& order) {
-        this->platform.servers.stop(server, order,
+        this->servers.stop(server, order,
             this->guarded([this, id = server.id, task = order.task, run = order.run](OrderStatus status) {
                 this->jobScheduler.stopAnswered(id, task, run, status);
                 this->scheduleDispatch();
             }));
     };
     scheduler.throttle = [this](const ServerRecord& server, const ThrottleOrder& order) {
-        this->platform.servers.throttle(server, order, [](OrderStatus) { /* the next report shows the effect */ });
+        this->servers.throttle(server, order, [](OrderStatus) { /* the next report shows the effect */ });
     };
     scheduler.renewLease = [this](const ServerRecord& server, const RenewOrder& order) {
-        this->platform.servers.renewLease(server, order,
+        this->servers.renewLease(server, order,
             this->guarded(
                 [this, id = server.id, sentAt = this->clock.now()](OrderStatus status, const RenewReport& report) {
                     this->jobScheduler.renewAnswered(id, sentAt, status, report);
@@ -190,6 +205,10 @@
     this->jobFollower
         = std::make_unique<TableFollower>(this->context, this->platform.store, tables::jobs, tables::allJobParts(),
             minVersion, follower([this](auto rows, bool isFullRead) { this->onJobs(rows, isFullRead); }));
+    this->entryVmFollower = std::make_unique<TableFollower>(this->context, this->platform.store, tables::entryVms,
+        std::vector<std::string> { tables::entryVmPart }, 0,
+        follower([this](auto rows, bool isFullRead) { this->onEntryVms(rows, isFullRead); }));
+    this->entryVmFollower->start();
     this->serverFollower->start();
     this->jobFollower->start();
     this->readOnce(tables::serverUse, &LeaderSession::onServersInUse);
@@ -204,6 +223,28 @@
     this->scheduleDispatch();
 }
 
+void LeaderSession::onEntryVms(std::span<const StoredRow> rows, bool isFullRead)
+{
+    this->readEach(rows, "entry VM row cannot be read", [this](const StoredRow& row) {
+        if (row.removed)
+            return this->relayedServers->removeVm(row.name.key);
+        auto vm = fromJson<EntryVm>(row.value);
+        vm.name = row.name.key;
+        this->relayedServers->setVm(std::move(vm));
+    });
+    this->hasLoadedEntryVms = this->hasLoadedEntryVms || isFullRead;
+    this->finishLoading();
+}
+
+void LeaderSession::updateRelays()
+{
+    this->relayedServers->failOverdueOrders();
+    if (this->clock.now() - this->relaysSelectedAt < relaySelectionInterval)
+        return;
+    this->relaysSelectedAt = this->clock.now();
+    this->relayedServers->select(this->jobScheduler.servers().size());
+}
+
 void LeaderSession::onServers(std::span<const StoredRow> rows, bool isFullRead)
 {
     std::set<std::string> present;
@@ -323,8 +364,14 @@
 void LeaderSession::finishLoading()
 {
     if (this->hasLoaded || !this->hasLoadedServers || !this->hasLoadedProgress || !this->hasLoadedServersInUse
-        || !this->hasLoadedMaintenance)
+        || !this->hasLoadedMaintenance || !this->hasLoadedEntryVms)
         return;
+    if (this->rowsLoadedAt == TimePoint {}) {
+        this->rowsLoadedAt = this->clock.now();
+        this->updateRelays();
+    }
+    if (!this->relayedServers->isReady() && this->clock.now() - this->rowsLoadedAt < maxRelayWait)
+        return; // tick() tries again
     this->hasLoaded = true;
     // Deferred, because a reader may be on the call stack.
     boost::asio::post(this->context, this->guarded([this] { this->initialReaders.clear(); }));
@@ -370,6 +417,10 @@
     }));
     if (!this->leadership.isLeader())
         return this->end("another VM is the leader");
+    if (this->hasLoaded)
+        this->updateRelays();
+    else
+        this->finishLoading();
     if (this->hasLoaded && this->leadership.canRenewLeases())
         this->jobScheduler.tick();
     if (this->hasLoaded && this->clock.now() - this->machineListRequestedAt >= machineListInterval
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -2,6 +2,7 @@
 // one term.
 #pragma once
 
+#include "io/process/relayed-servers.h"
 #include "io/process/table-follower.h"
 #include "io/process/tables.h"
 #include "job/bounded-transaction.h"
@@ -35,9 +36,11 @@
 
 class LeaderSession : public std::enable_shared_from_this<LeaderSession> {
 public:
-    LeaderSession(boost::asio::io_context& context, const FleetPlatform& platform, Leadership& leadership,
-        JobSchedulerRules rules, MachineMaintenanceRules maintenanceRules, Clock clock,
-        std::shared_ptr<const FleetConfig> config, LeaderSessionHooks hooks);
+    // `client` calls the relays, which `relays` selects.
+    LeaderSession(boost::asio::io_context& context, AsyncHttpClient& client, const FleetPlatform& platform,
+        RelaySelection relays, Leadership& leadership, JobSchedulerRules rules,
+        MachineMaintenanceRules maintenanceRules, Clock clock, std::shared_ptr<const FleetConfig> config,
+        LeaderSessionHooks hooks);
 
     // Starts to read the rows of the scheduler; orders are sent once all have been read.
     void start();
@@ -65,11 +68,14 @@
         bool isSending = false;
     };
 
+    RelayedServersHooks relayHooks();
     JobSchedulerHooks schedulerHooks();
     MachineMaintenanceHooks maintenanceHooks();
     PoolMoverHooks poolMoverHooks();
     void listMachines();
     void onJobs(std::span<const StoredRow> rows, bool isFullRead);
+    void onEntryVms(std::span<const StoredRow> rows, bool isFullRead);
+    void updateRelays();
     void onServers(std::span<const StoredRow> rows, bool isFullRead);
     void readEach(
         std::span<const StoredRow> rows, std::string_view event, const std::function<void(const StoredRow&)>& read);
@@ -96,6 +102,8 @@
     Leadership& leadership;
     const Clock clock;
     const LeaderSessionHooks hooks;
+    const std::shared_ptr<RelayedServers> relayedServers;
+    const ServerCalls servers;
     JobScheduler jobScheduler;
     MachineList machineList;
     MachineMaintenance machineMaintenance;
@@ -105,6 +113,9 @@
     TimePoint machineListRequestedAt; // start of the latest request
     std::unique_ptr<TableFollower> jobFollower;
     std::unique_ptr<TableFollower> serverFollower;
+    std::unique_ptr<TableFollower> entryVmFollower;
+    TimePoint relaysSelectedAt;
+    TimePoint rowsLoadedAt; // when all rows had been read
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer dispatchTimer;
     std::vector<std::unique_ptr<TableFollower>> initialReaders;
@@ -117,6 +128,7 @@
     std::set<std::string> inheritedCancellations; // read before the progress of their jobs
     bool hasLoadedJobs = false;
     bool hasLoadedServers = false;
+    bool hasLoadedEntryVms = false;
     bool hasLoadedProgress = false;
     bool hasLoadedServersInUse = false;
     bool hasLoadedMaintenance = false;
--- a/src/io/process/tables.h
+++ b/src/io/process/tables.h
@@ -22,6 +22,9 @@
 inline constexpr const char* serverUse = "server-use";
 // Machines whose maintenance is completed, by wave, and the initial sizes of the pools.
 inline constexpr const char* maintenance = "upkeep";
+// Entry VMs, each written by its own process after its start.
+inline constexpr const char* entryVms = "vm";
+inline constexpr const char* entryVmPart = "";
 // Number of pending jobs by queue, in a single row.
 inline constexpr const char* summary = "summary";
 inline constexpr const char* summaryKey = "waiting";
