--- a/include/waxwinglug/fleet-platform.h
+++ b/include/waxwinglug/fleet-platform.h
@@ -108,6 +108,13 @@
     MachineState state = MachineState::Down;
     std::string server; // id of the server that runs on it; empty: none
     Resources capacity;
+    std::string dataCentre {};
+};
+
+// The operator's request that the servers of a data centre get no new tasks.
+struct Evacuation {
+    std::string dataCentre;
+    bool isActive = false; // false: the request has been withdrawn
 };
 
 enum class MachineOrderStatus {
@@ -141,6 +148,7 @@
     std::string deadlineHeader;
     std::function<std::optional<FleetConfig>(const StoredRow&)> decodeConfig;
     std::function<std::optional<MachineWave>(const StoredRow&)> decodeWave;
+    std::function<std::optional<Evacuation>(const StoredRow&)> decodeEvacuation;
     std::function<std::optional<ServerRecord>(const StoredRow&)> decodeServer;
     std::function<RowValue(const MachineWave&, bool completed)> encodeWaveStatus;
     // Decodes the steps and the command of a submitted job. Throws Error (Invalid).
--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -16,9 +16,12 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <fmt/ranges.h>
+
 #include <csignal>
 #include <ctime>
 #include <random>
+#include <set>
 
 namespace waxwinglug::io {
 namespace {
@@ -177,11 +180,12 @@
         return this->config && !this->isStopping && this->clock.now() - this->storeAnsweredAt < maxStoreAnswerAge;
     }
 
-    FollowerHooks followerHooks(std::function<void(std::span<const StoredRow>)> apply)
+    // `apply` learns whether the rows are all of the table or changes.
+    FollowerHooks followerHooks(const std::function<void(std::span<const StoredRow>, bool isFullRead)>& apply)
     {
         FollowerHooks hooks;
-        hooks.onFullRead = apply;
-        hooks.onChanges = std::move(apply);
+        hooks.onFullRead = [apply](std::span<const StoredRow> rows) { apply(rows, true); };
+        hooks.onChanges = [apply](std::span<const StoredRow> rows) { apply(rows, false); };
         hooks.onAnswer = [this] {
             this->storeAnsweredAt = this->clock.now();
             this->leadership.storeAnswered();
@@ -202,18 +206,32 @@
     {
         this->configFollower = std::make_unique<TableFollower>(this->context, this->platform.store,
             this->platform.formats.operatorTable, std::vector<std::string> { "" }, 0,
-            this->followerHooks([this](std::span<const StoredRow> rows) { this->onOperatorRows(rows); }));
+            this->followerHooks(
+                [this](std::span<const StoredRow> rows, bool isFullRead) { this->onOperatorRows(rows, isFullRead); }));
         this->configFollower->start();
     }
 
-    void onOperatorRows(std::span<const StoredRow> rows)
+    void onOperatorRows(std::span<const StoredRow> rows, bool isFullRead)
     {
+        // A request that was withdrawn while this process did not follow the table is missing from a full read.
+        std::set<std::string, std::less<>> evacuated;
+        if (!isFullRead)
+            evacuated = this->evacuatedDataCentres;
+        for (const auto& row : rows) {
+            if (const auto evacuation = this->platform.formats.decodeEvacuation(row)) {
+                if (evacuation->isActive)
+                    evacuated.insert(evacuation->dataCentre);
+                else
+                    evacuated.erase(evacuation->dataCentre);
+            }
+        }
+        this->applyEvacuations(std::move(evacuated));
         for (const auto& row : rows) {
             if (auto next = this->platform.formats.decodeConfig(row))
                 this->applyConfig(std::move(*next));
             else if (auto wave = this->platform.formats.decodeWave(row))
                 this->applyWave(*wave);
-            else if (!row.removed)
+            else if (!row.removed && !this->platform.formats.decodeEvacuation(row))
                 this->log.warning("operator row is skipped", { { "key", row.name.key }, { "version", row.version } });
         }
     }
@@ -234,6 +252,17 @@
             this->session->setConfig(this->config);
     }
 
+    void applyEvacuations(std::set<std::string, std::less<>> next)
+    {
+        if (next == this->evacuatedDataCentres)
+            return;
+        this->log.info(
+            "evacuated data centres change", { { "data_centres", fmt::format("{}", fmt::join(next, ",")) } });
+        this->evacuatedDataCentres = std::move(next);
+        if (this->session)
+            this->session->setEvacuatedDataCentres(this->evacuatedDataCentres);
+    }
+
     void applyWave(const MachineWave& wave)
     {
         this->waves[wave.number] = wave;
@@ -269,7 +298,7 @@
     {
         this->leadershipFollower = std::make_unique<TableFollower>(this->context, this->platform.store,
             Leadership::table, std::vector<std::string> { Leadership::part }, 0,
-            this->followerHooks([this](std::span<const StoredRow> rows) {
+            this->followerHooks([this](std::span<const StoredRow> rows, bool) {
                 this->leadership.observe(rows);
                 this->startSession();
             }));
@@ -312,6 +341,7 @@
             std::move(relays), this->leadership, rules, maintenanceRules, this->clock, this->config, std::move(hooks));
         for (const auto& [number, wave] : this->waves)
             this->session->addWave(wave);
+        this->session->setEvacuatedDataCentres(this->evacuatedDataCentres);
         this->session->start();
     }
 
@@ -384,6 +414,7 @@
     std::shared_ptr<LeaderSession> session;
     std::shared_ptr<const FleetConfig> config;
     std::map<int, MachineWave> waves;
+    std::set<std::string, std::less<>> evacuatedDataCentres;
     TimePoint storeAnsweredAt;
     TimePoint storeFailedAt;
     TimePoint housekeepingAt;
--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -188,6 +188,12 @@
         this->machineMaintenance.addWave(wave, this->maintainedMachines[std::to_string(wave.number)]);
 }
 
+void LeaderSession::setEvacuatedDataCentres(std::set<std::string, std::less<>> dataCentres)
+{
+    this->jobScheduler.setEvacuatedDataCentres(std::move(dataCentres));
+    this->scheduleDispatch();
+}
+
 void LeaderSession::start()
 {
     const auto follower = [this](auto apply) {
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -46,6 +46,7 @@
     void start();
     void setConfig(std::shared_ptr<const FleetConfig> config);
     void addWave(const MachineWave& wave);
+    void setEvacuatedDataCentres(std::set<std::string, std::less<>> dataCentres);
     // Ends the session at once and lets another VM acquire leadership.
     void releaseLeadership();
 
--- a/src/io/process/order-relay.cpp
+++ b/src/io/process/order-relay.cpp
@@ -112,9 +112,14 @@
 
 void OrderRelay::acceptPoll(const HttpRequest& request, const Respond& respond)
 {
-    if (!this->acceptTerm(decodeRelayPoll(request.body)))
+    const auto fence = decodeRelayPoll(request.body);
+    const bool isNewTerm = fence > this->latestFence;
+    if (!this->acceptTerm(fence))
         return respond({ 409, {}, "" });
     this->waitingPoll = respond;
+    // A new leader uses the relay once it has answered.
+    if (isNewTerm)
+        return this->answerPoll();
     if (!this->results.empty())
         return this->scheduleAnswer();
     this->pollTimer.expires_after(maxRelayPollWait);
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -118,8 +118,8 @@
 {
     const bool isRegistered = server.registered || now - server.unregisteredAt < reregistrationGrace;
     return isRegistered && server.useRecorded && !server.record.draining && server.isReachable() && !server.cordoned
-        && server.orphans.empty() && now >= server.backoffUntil && now >= server.ejectedUntil
-        && !(server.probing && !server.runs.empty());
+        && !this->isEvacuated(server.record.dataCentre) && server.orphans.empty() && now >= server.backoffUntil
+        && now >= server.ejectedUntil && !(server.probing && !server.runs.empty());
 }
 
 // Returns true if a server used by the previous leader has not answered yet. It may run tasks that are unknown here.
@@ -366,6 +366,30 @@
         this->evict(*server, "maintenance of its machine is pending");
 }
 
+bool JobScheduler::canRunElsewhere(const Run& run) const
+{
+    auto& occurrence = run.job->activeOccurrences.at(run.occurrence);
+    const ReadyStep step { run.job, &occurrence, static_cast<std::size_t>(run.step), 0, 0 };
+    return this->chooseServer(step, *run.task, this->usableServers(run.job->service), {}) != nullptr;
+}
+
+// Moves one long-running task of each step at a time, and only to a server that has room for it now: a task that waits
+// serves nobody, while its evacuated server still works.
+void JobScheduler::evictFromEvacuatedDataCentres()
+{
+    if (this->evacuatedDataCentres.empty())
+        return;
+    for (auto& [serverId, server] : this->serverMap) {
+        if (!this->isEvacuated(server->record.dataCentre) || !server->isReachable() || server->cordoned)
+            continue;
+        for (auto& [id, run] : server->runs) {
+            if (run.spec().longRunning && run.task->phase == TaskPhase::Running && this->canInterrupt(run)
+                && this->canRunElsewhere(run))
+                this->requestStop(*server, id, run, "its data centre is evacuated");
+        }
+    }
+}
+
 void JobScheduler::evict(Server& server, std::string_view reason)
 {
     if (!server.isReachable())
--- a/src/job/pool-mover.cpp
+++ b/src/job/pool-mover.cpp
@@ -91,6 +91,9 @@
     for (const auto& [name, record] : this->machineList.machines) {
         PoolMachine machine { name, record.pool, 0, false, false };
         const auto* server = this->scheduler.serverOnMachine(name);
+        // A machine that gets no tasks adds nothing to its pool or to another one.
+        if (this->scheduler.isEvacuated(server ? server->record.dataCentre : record.dataCentre))
+            continue;
         const auto move = this->moves.find(name);
         machine.millicores = server ? server->record.capacity.cpu : record.capacity.cpu;
         if (server)
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -334,6 +334,7 @@
         if (server->record.draining && server->registered)
             this->evict(*server, "its server is draining");
     }
+    this->evictFromEvacuatedDataCentres();
     this->resendStops();
     this->sendDueRenewals();
     this->dispatch(true);
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -137,6 +137,11 @@
     // Number of servers required by the largest long-running step of a service, including spares to move its tasks to.
     int requiredServers(std::string_view service) const;
 
+    // Data centres whose servers get no new tasks. Their running tasks end there, and long-running ones move to servers
+    // with enough free capacity elsewhere, within the maxUnavailable limit of their steps.
+    void setEvacuatedDataCentres(std::set<std::string, std::less<>> dataCentres);
+    bool isEvacuated(std::string_view dataCentre) const { return this->evacuatedDataCentres.contains(dataCentre); }
+
     // Maintenance. A cordoned machine gets no new tasks.
     void setCordoned(std::string_view machine, bool closing);
     // The machine will be taken down for maintenance soon.
@@ -259,6 +264,8 @@
     bool mayHaveUnknownRuns(const std::string& service) const;
     bool canInterrupt(const detail::Run& run) const;
     void evict(detail::Server& server, std::string_view reason);
+    void evictFromEvacuatedDataCentres();
+    bool canRunElsewhere(const detail::Run& run) const;
 
     const JobSchedulerRules rules;
     const Clock clock;
@@ -302,6 +309,7 @@
         std::int64_t work = 0; // thousandths of a core times milliseconds
     };
     std::map<std::string, std::deque<Arrival>, std::less<>> arrivals;
+    std::set<std::string, std::less<>> evacuatedDataCentres;
     std::set<std::string> maintenancePendingMachines;
     std::set<std::string> cordonedMachines;
     // A server in use may lack its record; false: the servers need not be searched.
--- a/src/job/servers.cpp
+++ b/src/job/servers.cpp
@@ -254,6 +254,13 @@
     return inUse >= minServersForPartition && unresponsive * 2 > inUse;
 }
 
+void JobScheduler::setEvacuatedDataCentres(std::set<std::string, std::less<>> dataCentres)
+{
+    this->evacuatedDataCentres = std::move(dataCentres);
+    for (const auto& [service, jobs] : this->activeJobs)
+        this->changedServices.insert(service);
+}
+
 void JobScheduler::setCordoned(std::string_view machine, bool closing)
 {
     if (closing)
--- a/test/job/scheduler-test.cpp
+++ b/test/job/scheduler-test.cpp
@@ -232,6 +232,70 @@
     EXPECT_EQ(this->starts.size(), 2U);
 }
 
+// Guards against starts in a data centre that the operator evacuates, and against work that stays away afterwards.
+TEST_F(SchedulerTest, evacuatedDataCentreGetsNoTasksUntilItIsTakenBack)
+{
+    for (const auto* id : { "north", "south" }) {
+        auto server = this->record(id);
+        server.dataCentre = id;
+        this->scheduler->addServer(server);
+        this->scheduler->tick();
+        this->answerRenewal(id, {}, {});
+    }
+    this->scheduler->serverUseSaved(this->scheduler->takeServerUseChanges(10));
+    this->scheduler->setEvacuatedDataCentres({ "north" });
+    this->scheduler->addJob(this->job("first", this->step(6)), false);
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 4U);
+    for (const auto& [server, order] : this->starts)
+        EXPECT_EQ(server, "south");
+    this->scheduler->setEvacuatedDataCentres({});
+    this->scheduler->dispatchChanges();
+    ASSERT_EQ(this->starts.size(), 6U);
+    EXPECT_EQ(this->starts[4].first, "north");
+}
+
+// All data centres evacuated: jobs wait, and nothing is started or given up.
+TEST_F(SchedulerTest, jobsWaitWhileAllDataCentresAreEvacuated)
+{
+    this->addServer("server");
+    this->scheduler->setEvacuatedDataCentres({ "", "unknown" });
+    this->scheduler->addJob(this->job("first", this->step(1)), false);
+    this->scheduler->tick();
+    EXPECT_TRUE(this->starts.empty());
+    EXPECT_EQ(this->scheduler->jobStatus("first"), JobStatus::Pending);
+}
+
+// Guards against an evacuation that takes down more long-running tasks than their step allows, or moves one that no
+// other server has room for.
+TEST_F(SchedulerTest, evacuationMovesLongRunningTasksWithinTheirLimit)
+{
+    auto lasting = this->step(3);
+    lasting.longRunning = true;
+    lasting.maxUnavailable = 1;
+    this->addServer("old");
+    this->scheduler->addJob(this->job("lasting", lasting), false);
+    this->scheduler->tick();
+    this->confirmStarts();
+    ASSERT_EQ(this->starts.size(), 3U);
+    std::vector<RunningTask> running;
+    for (const auto& [server, order] : this->starts)
+        running.push_back({ order.task, order.run, "", 100, 0 });
+    this->answerRenewal("old", running, {});
+    this->scheduler->setEvacuatedDataCentres({ "" });
+    this->scheduler->tick();
+    EXPECT_TRUE(this->stops.empty()) << "no other server has room";
+    auto other = this->record("new");
+    other.dataCentre = "south";
+    this->scheduler->addServer(other);
+    this->scheduler->tick();
+    this->answerRenewal("new", {}, {});
+    this->scheduler->serverUseSaved(this->scheduler->takeServerUseChanges(10));
+    this->answerRenewal("old", running, {});
+    this->scheduler->tick();
+    EXPECT_EQ(this->stops.size(), 1U);
+}
+
 // Guards against new work on a draining server.
 TEST_F(SchedulerTest, drainingServerGetsNoTasksAndEvictsLongRunningOnes)
 {
