Hand leadership over when the store refuses only the leader; load a new leader faster

Change: a leader whose transactions failed three times in a row and whose last one is 0.5 s old asks large VMs whether they reach the store, stops, and then tells one of them to acquire leadership. Rows of completed jobs are not decoded; progress is read beside the jobs.

--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -4,6 +4,7 @@
 #include "io/connection/caller-server.h"
 #include "io/process/job-gateway.h"
 #include "io/process/leader-session.h"
+#include "io/process/leadership-offer.h"
 #include "io/process/log.h"
 #include "io/process/order-relay.h"
 #include "io/process/table-follower.h"
@@ -157,7 +158,12 @@
         this->healthServer = std::make_unique<CallerServer>(
             this->context, this->settings.health, CallerLimits {}, this->serverHooks(answerHealth));
         const auto answerOperators = [this](const HttpRequest& request, const Respond& respond) {
-            if (!this->relay->handle(request, respond))
+            const auto acquire = [this] {
+                if (this->config && !this->isStopping && this->leadership.shouldAcquire())
+                    this->acquireLeadership();
+            };
+            if (!this->relay->handle(request, respond)
+                && !answerLeadershipRequest(this->leadership, request, respond, acquire, this->logHook()))
                 respond(this->answerOperator(request));
         };
         auto operatorHooks = this->serverHooks(answerOperators);
--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -40,6 +40,7 @@
     , hooks(std::move(sessionHooks))
     , relayedServers(std::make_shared<RelayedServers>(
           io, client, fleetPlatform.servers, std::move(relays), rules.fence, source, this->relayHooks()))
+    , leadershipOffer(std::make_shared<LeadershipOffer>(client, source, rules.fence, this->offerHooks()))
     , servers(this->relayedServers->calls())
     , jobScheduler(rules, source, this->schedulerHooks())
     , machineMaintenance(this->jobScheduler, this->machineList, maintenanceRules, source, this->maintenanceHooks())
@@ -60,6 +61,18 @@
     return relay;
 }
 
+LeadershipOfferHooks LeaderSession::offerHooks()
+{
+    LeadershipOfferHooks offer;
+    offer.mayHandOver = [this] { return !this->hasEnded && this->leadership.shouldOfferLeadership(); };
+    offer.stopLeading = [this](const std::string& successor) {
+        this->hooks.log("leadership is handed over", { { "fence", this->leadership.fence() }, { "to", successor } });
+        this->end("another VM reaches the store");
+    };
+    offer.log = this->hooks.log;
+    return offer;
+}
+
 JobSchedulerHooks LeaderSession::schedulerHooks()
 {
     JobSchedulerHooks scheduler;
@@ -219,6 +232,8 @@
     this->jobFollower->start();
     this->readOnce(tables::serverUse, &LeaderSession::onServersInUse);
     this->readOnce(tables::maintenance, &LeaderSession::onMaintenance);
+    // An earlier leader cannot write any more, so the progress may be read before the jobs.
+    this->readOnce(tables::progress, &LeaderSession::onProgress);
     this->tick();
 }
 
@@ -290,17 +305,14 @@
                 this->inheritedCancellations.insert(job);
             continue;
         }
-        try {
-            auto job = fromJson<JobSpec>(row.value);
-            validateJob(job);
-            this->jobScheduler.addJob(std::move(job), !this->hasLoaded);
-        } catch (const Error& error) {
-            this->hooks.log("job row cannot be read", { { "key", row.name.key }, { "problem", error.what() } });
-        }
+        if (this->hasLoaded)
+            this->addJob(row);
+        else
+            this->inheritedJobs.insert_or_assign(row.name.key, row);
     }
     if (isFullRead && !this->hasLoadedJobs) {
         this->hasLoadedJobs = true;
-        this->readOnce(tables::progress, &LeaderSession::onProgress);
+        this->finishLoading();
     }
     if (isFullRead && this->hasLoaded) {
         for (const auto& row : rows) {
@@ -327,12 +339,41 @@
 
 void LeaderSession::onProgress(std::span<const StoredRow> rows)
 {
-    this->readEach(rows, "progress row cannot be read",
-        [this](const StoredRow& row) { this->jobScheduler.loadProgress(row.name.key, row.value, row.version); });
+    this->inheritedProgress.assign(rows.begin(), rows.end());
     this->hasLoadedProgress = true;
     this->finishLoading();
 }
 
+void LeaderSession::addJob(const StoredRow& row)
+{
+    this->readEach({ &row, 1 }, "job row cannot be read", [this](const StoredRow& each) {
+        auto job = fromJson<JobSpec>(each.value);
+        validateJob(job);
+        this->jobScheduler.addJob(std::move(job), !this->hasLoaded);
+    });
+}
+
+// Adds the jobs that were stored before this term, with their progress.
+void LeaderSession::loadJobs()
+{
+    std::vector<const StoredRow*> unfinished;
+    this->readEach(this->inheritedProgress, "progress row cannot be read", [&](const StoredRow& row) {
+        if (detail::JobTable::isCompleted(row.value) && this->inheritedJobs.erase(row.name.key) > 0)
+            this->jobScheduler.addCompletedJob(row.name.key, row.version);
+        else
+            unfinished.push_back(&row);
+    });
+    for (const auto& [id, row] : this->inheritedJobs)
+        this->addJob(row);
+    for (const auto* row : unfinished) {
+        this->readEach({ row, 1 }, "progress row cannot be read", [this](const StoredRow& each) {
+            this->jobScheduler.loadProgress(each.name.key, each.value, each.version);
+        });
+    }
+    this->inheritedJobs.clear();
+    this->inheritedProgress.clear();
+}
+
 void LeaderSession::onServersInUse(std::span<const StoredRow> rows)
 {
     this->readEach(rows, "server in use cannot be read",
@@ -369,8 +410,8 @@
 
 void LeaderSession::finishLoading()
 {
-    if (this->hasLoaded || !this->hasLoadedServers || !this->hasLoadedProgress || !this->hasLoadedServersInUse
-        || !this->hasLoadedMaintenance || !this->hasLoadedEntryVms)
+    if (this->hasLoaded || !this->hasLoadedServers || !this->hasLoadedJobs || !this->hasLoadedProgress
+        || !this->hasLoadedServersInUse || !this->hasLoadedMaintenance || !this->hasLoadedEntryVms)
         return;
     if (this->rowsLoadedAt == TimePoint {}) {
         this->rowsLoadedAt = this->clock.now();
@@ -378,6 +419,7 @@
     }
     if (!this->relayedServers->isReady() && this->clock.now() - this->rowsLoadedAt < maxRelayWait)
         return; // tick() tries again
+    this->loadJobs();
     this->hasLoaded = true;
     // Deferred, because a reader may be on the call stack.
     boost::asio::post(this->context, this->guarded([this] { this->initialReaders.clear(); }));
@@ -432,6 +474,8 @@
     if (this->hasLoaded && this->clock.now() - this->machineListRequestedAt >= machineListInterval
         && this->jobScheduler.waitsForUnresponsiveServer())
         this->listMachines();
+    if (this->leadership.shouldOfferLeadership())
+        this->leadershipOffer->offer(this->relayedServers->possibleLeaders());
     if (this->hasLoaded && this->jobScheduler.isPartitioned()) {
         this->hooks.log("most backend servers do not answer", { { "fence", this->leadership.fence() } });
         this->leadership.pauseCandidacy(partitionedCandidacyPause);
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -2,6 +2,7 @@
 // one term.
 #pragma once
 
+#include "io/process/leadership-offer.h"
 #include "io/process/relayed-servers.h"
 #include "io/process/table-follower.h"
 #include "io/process/tables.h"
@@ -70,6 +71,7 @@
     };
 
     RelayedServersHooks relayHooks();
+    LeadershipOfferHooks offerHooks();
     JobSchedulerHooks schedulerHooks();
     MachineMaintenanceHooks maintenanceHooks();
     PoolMoverHooks poolMoverHooks();
@@ -80,7 +82,9 @@
     void onServers(std::span<const StoredRow> rows, bool isFullRead);
     void readEach(
         std::span<const StoredRow> rows, std::string_view event, const std::function<void(const StoredRow&)>& read);
+    void addJob(const StoredRow& row);
     void onProgress(std::span<const StoredRow> rows);
+    void loadJobs();
     void onServersInUse(std::span<const StoredRow> rows);
     void onMaintenance(std::span<const StoredRow> rows);
     void readOnce(const char* table, void (LeaderSession::*apply)(std::span<const StoredRow>));
@@ -104,6 +108,7 @@
     const Clock clock;
     const LeaderSessionHooks hooks;
     const std::shared_ptr<RelayedServers> relayedServers;
+    const std::shared_ptr<LeadershipOffer> leadershipOffer;
     const ServerCalls servers;
     JobScheduler jobScheduler;
     MachineList machineList;
@@ -126,7 +131,11 @@
     TransactionLimits transactionLimits; // lowered after a transaction that the store rejected
     std::map<int, WaveReport> waveReports;
     std::map<std::string, int> storedPoolSizes;
-    std::set<std::string> inheritedCancellations; // read before the progress of their jobs
+    // Rows of jobs and of their progress until all have been read. Most jobs are completed, and only the others are
+    // decoded.
+    std::map<std::string, StoredRow> inheritedJobs;
+    std::vector<StoredRow> inheritedProgress;
+    std::set<std::string> inheritedCancellations;
     bool hasLoadedJobs = false;
     bool hasLoadedServers = false;
     bool hasLoadedEntryVms = false;
--- a/src/io/process/relayed-servers.h
+++ b/src/io/process/relayed-servers.h
@@ -40,6 +40,7 @@
     ServerCalls calls();
     void setVm(EntryVm vm) { this->selection.setVm(std::move(vm)); }
     void removeVm(std::string_view name) { this->selection.removeVm(name); }
+    std::vector<EntryVm> possibleLeaders() const { return this->selection.possibleLeaders(); }
     // Selects relays for this number of servers and begins to poll them. Call again about once a second.
     void select(std::size_t serverCount);
     // Returns true when each selected relay has answered its first poll or failed.
--- a/src/job/job-table.cpp
+++ b/src/job/job-table.cpp
@@ -231,6 +231,15 @@
     }.dump();
 }
 
+bool JobTable::isCompleted(std::string_view text)
+{
+    try {
+        return parseJobStatus(Json::parse(text).at("state").get<std::string>()) == JobStatus::Completed;
+    } catch (const Json::exception& error) {
+        throw Error(ErrorKind::Invalid, error.what(), "check that all nodes run the same version");
+    }
+}
+
 bool JobTable::activateDueOccurrences(JobRecord& job, WallTime now)
 {
     bool activated = false;
--- a/src/job/job-table.h
+++ b/src/job/job-table.h
@@ -124,6 +124,8 @@
     // Restores a job from its stored progress. Throws Error (Invalid) if the text is malformed.
     static void load(JobRecord& job, std::string_view text, std::uint64_t rowVersion);
     static std::string save(const JobRecord& job);
+    // Returns true if the stored progress is that of a completed job. Throws Error (Invalid) if it is malformed.
+    static bool isCompleted(std::string_view text);
 
     // Activates the occurrences that are due. Returns true if there is a new one.
     static bool activateDueOccurrences(JobRecord& job, WallTime now);
--- a/src/job/leadership.cpp
+++ b/src/job/leadership.cpp
@@ -69,11 +69,13 @@
             this->termStartedAt = WallTime(Duration(json.value("since", std::int64_t(0))));
             this->leaderSeenAt = this->clock.now();
             this->isReleased = false;
+            this->wasHandedOver = false;
             this->heartbeatSeenAt = this->clock.now();
             const auto nonce = json.value("attempt", "");
             this->heldByEarlierIncarnation
                 = this->knownLeader == this->node && nonce != this->lastAttempt && nonce != this->endedAttempt;
             this->isLeading = !this->lastAttempt.empty() && nonce == this->lastAttempt && nonce != this->endedAttempt;
+            this->failedCommits = 0;
             if (this->isLeading)
                 this->lastCommitSentAt = this->clock.now();
         } else if (row.name.key == heartbeatRowKey && json.value("fence", std::uint64_t(0)) == this->knownFence) {
@@ -112,6 +114,8 @@
         = this->lastStoreCallFailed || !this->hasReadTable || now - this->storeAnsweredAt > storeFreshness;
     if (this->isLeading || this->isAcquiring || now < this->nextAttemptAt || storeUnavailable)
         return false;
+    if (this->wasHandedOver)
+        return true;
     const bool isVacant = this->knownFence == 0 || this->isReleased || this->heldByEarlierIncarnation;
     if (this->isMuchLarger() && now - this->leaderSeenAt >= this->timings.minTermBeforeTakeover + this->randomDelay)
         return true;
@@ -158,6 +162,8 @@
     this->heldByEarlierIncarnation = false;
     this->leaderSeenAt = this->clock.now();
     this->isReleased = false;
+    this->wasHandedOver = false;
+    this->failedCommits = 0;
     this->isLeading = true;
     this->lastCommitSentAt = this->heartbeatSentAt;
     this->heartbeatSeenAt = this->clock.now();
@@ -177,8 +183,37 @@
         Json { { "fence", this->knownFence }, { "count", ++this->heartbeatCount }, { "released", release } }.dump() };
 }
 
+void Leadership::commitFailed()
+{
+    this->lastCommitFailedAt = this->clock.now();
+    ++this->failedCommits;
+}
+
+bool Leadership::shouldOfferLeadership() const
+{
+    return this->isLeading && this->failedCommits >= this->timings.minFailuresToOffer
+        && this->clock.now() - this->lastCommitSentAt >= this->timings.offerDelay;
+}
+
+bool Leadership::acceptsLeadership(std::uint64_t fence) const
+{
+    const bool isStoreReached
+        = !this->lastStoreCallFailed && this->clock.now() - this->storeAnsweredAt <= storeFreshness;
+    return isStoreReached && this->hasReadTable && !this->isLeading && !this->isAcquiring && fence == this->knownFence;
+}
+
+bool Leadership::takeOver(std::uint64_t fence)
+{
+    if (fence != this->knownFence || this->isLeading)
+        return false;
+    this->isReleased = true;
+    this->wasHandedOver = true;
+    return true;
+}
+
 void Leadership::commitConfirmed(TimePoint sentAt)
 {
+    this->failedCommits = 0;
     this->lastCommitSentAt = std::max(this->lastCommitSentAt, sentAt);
 }
 
--- a/src/job/leadership.h
+++ b/src/job/leadership.h
@@ -38,6 +38,10 @@
     // VM with enough processor acquires leadership first. Several times the interval at which VMs check whether to
     // acquire it.
     Duration smallVmDelay { 400 };
+    // A leader offers its leadership to other VMs when its latest confirmed transaction began this long ago and at
+    // least this many later ones failed in a row.
+    Duration offerDelay { 500 };
+    int minFailuresToOffer = 3;
     // After a term of this length no order of an earlier leader is still in force: an earlier leader continues for 5 s
     // without the store, and its leases for 4 s more. The clocks of two VMs may be seconds apart.
     Duration earlierOrdersExpiry { 12'000 };
@@ -92,7 +96,14 @@
     // A transaction of the leader that began at this moment was committed.
     void commitConfirmed(TimePoint sentAt);
     // A transaction of the leader failed or was not answered.
-    void commitFailed() { this->lastCommitFailedAt = this->clock.now(); }
+    void commitFailed();
+    // True while the store has refused several transactions of this leader in a row. Another VM may reach it.
+    bool shouldOfferLeadership() const;
+    // Returns true if this VM would succeed the leader of this term at once.
+    bool acceptsLeadership(std::uint64_t fence) const;
+    // The leader of this term has stopped and hands its leadership to this VM. Returns false if that is not the latest
+    // term; otherwise shouldAcquire() is true.
+    bool takeOver(std::uint64_t fence);
     // The latest transaction of the leader was committed.
     bool lastCommitSucceeded() const { return this->lastCommitFailedAt <= this->lastCommitSentAt; }
     // True while tasks may be started: no other VM can have acquired leadership, or backend servers would refuse the
@@ -135,6 +146,8 @@
     TimePoint storeAnsweredAt;
     TimePoint lastCommitSentAt; // start of the last confirmed transaction, or when the own term was found in the table
     TimePoint lastCommitFailedAt;
+    int failedCommits = 0; // since the last confirmed one
+    bool wasHandedOver = false; // the leader of the known term has stopped and chosen this VM
     TimePoint heartbeatSentAt;
     TimePoint nextAttemptAt;
 };
--- a/src/job/relay-selection.cpp
+++ b/src/job/relay-selection.cpp
@@ -86,6 +86,18 @@
     return result;
 }
 
+std::vector<EntryVm> RelaySelection::possibleLeaders() const
+{
+    std::vector<EntryVm> result;
+    for (const auto& [name, vm] : this->vms) {
+        if (name != this->leader
+            && vm.processorMillicores * 100 >= this->leaderMillicores * this->rules.minProcessorPercent)
+            result.push_back(vm);
+    }
+    std::ranges::stable_sort(result, std::greater {}, &EntryVm::processorMillicores);
+    return result;
+}
+
 void RelaySelection::answered(const std::string& name)
 {
     const auto relay = this->relays.find(name);
--- a/src/job/relay-selection.h
+++ b/src/job/relay-selection.h
@@ -53,6 +53,8 @@
     // Selects relays for the largest number of servers so far, so that the relays of a term rarely change.
     void select(std::size_t serverCount);
     std::vector<EntryVm> selected() const;
+    // Other VMs that are large enough to lead in place of this one, the largest first.
+    std::vector<EntryVm> possibleLeaders() const;
     bool isSelected(const std::string& name) const { return this->relays.contains(name); }
 
     // The relay has answered, or not answered, a call. A relay is used once it has answered.
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -136,6 +136,19 @@
     }
 }
 
+void JobScheduler::addCompletedJob(const std::string& id, std::uint64_t rowVersion)
+{
+    JobSpec spec;
+    spec.id = id;
+    if (!this->jobTable.add(std::move(spec)))
+        return;
+    auto& job = *this->jobTable.find(id);
+    job.state = JobStatus::Completed;
+    job.rowVersion = rowVersion;
+    job.endedAt = this->clock.now();
+    this->endedJobs.push_back(&job);
+}
+
 void JobScheduler::cancelJob(std::string_view id)
 {
     auto* job = this->jobTable.find(id);
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -85,6 +85,8 @@
     // Load the contents of the store. `inherited` jobs were stored before this term and may be running on some server.
     void addJob(JobSpec spec, bool inherited);
     void loadProgress(std::string_view job, std::string_view text, std::uint64_t rowVersion);
+    // Adds a job whose stored progress shows that it is completed; its specification is not needed any more.
+    void addCompletedJob(const std::string& job, std::uint64_t rowVersion);
     void cancelJob(std::string_view job);
     void addServer(ServerRecord record);
     // Adds a server that an earlier leader used, whether it is still registered or not.
--- a/test/job/leadership-test.cpp
+++ b/test/job/leadership-test.cpp
@@ -297,4 +297,49 @@
     EXPECT_TRUE(large.isLeader());
 }
 
+// Load: the store refuses a third of the VMs, the leader among them, for some seconds. Guards against waiting for the
+// heartbeat timeout, and against a hand-over after a single lost answer.
+TEST_F(LeadershipTest, leaderRefusedByTheStoreHandsOverAtOnce)
+{
+    this->makeFirstLeader();
+    this->clock.advance(Duration(400));
+    this->sendHeartbeat(false);
+    this->clock.advance(Duration(600));
+    this->first.commitFailed();
+    EXPECT_FALSE(this->first.shouldOfferLeadership()) << "one lost answer";
+    this->first.commitFailed();
+    this->first.commitFailed();
+    EXPECT_TRUE(this->first.shouldOfferLeadership());
+    this->readTable(this->second);
+    EXPECT_FALSE(this->second.shouldAcquire());
+    ASSERT_TRUE(this->second.acceptsLeadership(1));
+    this->first.stepDown();
+    ASSERT_TRUE(this->second.takeOver(1));
+    ASSERT_TRUE(this->second.shouldAcquire());
+    this->second.acquireAnswered(this->store.commit(this->second.acquire()));
+    EXPECT_TRUE(this->second.isLeader());
+    EXPECT_EQ(this->second.fence(), 2U);
+}
+
+// Guards against a delayed hand-over message that ends a later term, and against a successor that cannot reach the
+// store either.
+TEST_F(LeadershipTest, handOverOfAnEarlierTermHasNoEffect)
+{
+    this->makeFirstLeader();
+    this->readTable(this->second);
+    this->second.storeCallFailed();
+    EXPECT_FALSE(this->second.acceptsLeadership(1));
+    this->second.storeAnswered();
+    EXPECT_TRUE(this->second.acceptsLeadership(1));
+    this->first.stepDown();
+    this->clock.advance(Duration(2000));
+    this->second.storeAnswered();
+    this->second.acquireAnswered(this->store.commit(this->second.acquire()));
+    ASSERT_TRUE(this->second.isLeader());
+    this->readTable(this->first);
+    EXPECT_FALSE(this->first.takeOver(1));
+    EXPECT_FALSE(this->second.takeOver(2)) << "it leads itself";
+    EXPECT_FALSE(this->first.shouldAcquire());
+}
+
 } // namespace waxwinglug
