--- a/src/io/process/relayed-servers.cpp
+++ b/src/io/process/relayed-servers.cpp
@@ -211,7 +211,7 @@
 // Stops using the relay for a while. Its orders may have been carried out.
 void RelayedServers::failRelay(const std::string& name, std::string_view problem)
 {
-    this->selection.failed(name, this->clock.now());
+    const bool isNew = this->selection.failed(name, this->clock.now());
     std::vector<std::uint64_t> unsent;
     for (const auto& order : std::exchange(this->links[name].outgoing, {}))
         unsent.push_back(order.id);
@@ -222,8 +222,9 @@
         if (order.relay == name)
             sent.push_back(id);
     }
-    this->hooks.log("relay does not answer",
-        { { "relay", name }, { "problem", problem }, { "unsent", unsent.size() }, { "unanswered", sent.size() } });
+    if (isNew)
+        this->hooks.log("relay does not answer",
+            { { "relay", name }, { "problem", problem }, { "unsent", unsent.size() }, { "unanswered", sent.size() } });
     // In the order in which they were sent.
     std::ranges::sort(sent);
     for (const auto id : sent)
--- a/src/job/relay-selection.cpp
+++ b/src/job/relay-selection.cpp
@@ -107,15 +107,18 @@
     relay->second.pause = Duration(0);
 }
 
-void RelaySelection::failed(const std::string& name, TimePoint now)
+bool RelaySelection::failed(const std::string& name, TimePoint now)
 {
     const auto place = this->relays.find(name);
     if (place == this->relays.end())
-        return;
+        return false;
     auto& relay = place->second;
+    if (!relay.isUsed && now < relay.pausedUntil)
+        return false;
     relay.isUsed = false;
     relay.pause = std::clamp(relay.pause * 2, this->rules.minFailurePause, this->rules.maxFailurePause);
     relay.pausedUntil = now + relay.pause;
+    return true;
 }
 
 bool RelaySelection::mayCall(const std::string& name, TimePoint now) const
--- a/src/job/relay-selection.h
+++ b/src/job/relay-selection.h
@@ -59,7 +59,8 @@
 
     // The relay has answered, or not answered, a call. A relay is used once it has answered.
     void answered(const std::string& name);
-    void failed(const std::string& name, TimePoint now);
+    // Returns false if the failure was already known: several calls to a relay fail for one reason.
+    bool failed(const std::string& name, TimePoint now);
     // False while a relay is not called after a failure.
     bool mayCall(const std::string& name, TimePoint now) const;
     // Returns the relay for a server, preferably one in its data centre, or nullptr when the leader calls the server
--- a/test/job/relay-selection-test.cpp
+++ b/test/job/relay-selection-test.cpp
@@ -124,6 +124,20 @@
     EXPECT_EQ(this->relayName(before.begin()->first, "dc-1"), lost);
 }
 
+// Guards against a relay that stays unused for long after a short cut, because each of its open calls counted as a
+// failure of its own.
+TEST_F(RelaySelectionTest, failuresOfOneMomentCountOnce)
+{
+    this->selection.select(largeFleet);
+    this->answerAll();
+    const auto lost = this->selection.selected().front().name;
+    EXPECT_TRUE(this->selection.failed(lost, this->clock.now()));
+    for (int call = 0; call < 10; ++call)
+        EXPECT_FALSE(this->selection.failed(lost, this->clock.now()));
+    this->clock.advance(RelayRules {}.minFailurePause);
+    EXPECT_TRUE(this->selection.mayCall(lost, this->clock.now()));
+}
+
 // A VM at another address is another process, which may not know this leader.
 TEST_F(RelaySelectionTest, replacedVmHasToAnswerFirst)
 {
