--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -347,9 +347,7 @@
 void LeaderSession::addJob(const StoredRow& row)
 {
     this->readEach({ &row, 1 }, "job row cannot be read", [this](const StoredRow& each) {
-        auto job = fromJson<JobSpec>(each.value);
-        validateJob(job);
-        this->jobScheduler.addJob(std::move(job), !this->hasLoaded);
+        this->jobScheduler.addJob(fromJson<JobSpec>(each.value), !this->hasLoaded);
     });
 }
 
