--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -346,9 +346,8 @@
 
 void LeaderSession::addJob(const StoredRow& row)
 {
-    this->readEach({ &row, 1 }, "job row cannot be read", [this](const StoredRow& each) {
-        this->jobScheduler.addJob(fromJson<JobSpec>(each.value), !this->hasLoaded);
-    });
+    this->readEach({ &row, 1 }, "job row cannot be read",
+        [this](const StoredRow& each) { this->jobScheduler.addJob(fromJson<JobSpec>(each.value), !this->hasLoaded); });
 }
 
 // Adds the jobs that were stored before this term, with their progress.
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -134,8 +134,8 @@
     std::map<std::string, int> pendingJobsByQueue() const;
     std::optional<JobStatus> jobStatus(std::string_view job);
 
-    // Processor capacity in thousandths of a core that a service requires to complete its work in time: active, arriving
-    // and soon expected work, and its long-running tasks.
+    // Processor capacity in thousandths of a core that a service requires to complete its work in time: active,
+    // arriving and soon expected work, and its long-running tasks.
     std::int64_t requiredMillicores(std::string_view service) const;
     // Number of servers required by the largest long-running step of a service, including spares to move its tasks to.
     int requiredServers(std::string_view service) const;
