--- a/test/job/scheduler-test.cpp
+++ b/test/job/scheduler-test.cpp
@@ -279,6 +279,7 @@
     this->confirmStarts();
     ASSERT_EQ(this->starts.size(), 3U);
     std::vector<RunningTask> running;
+    running.reserve(this->starts.size());
     for (const auto& [server, order] : this->starts)
         running.push_back({ order.task, order.run, "", 100, 0 });
     this->answerRenewal("old", running, {});
