--- a/src/job/demand.cpp
+++ b/src/job/demand.cpp
@@ -13,10 +13,6 @@
     // Window for measuring arriving work. Short enough to detect a peak of some seconds in time to move machines; with
     // a shorter one, a few large jobs would look like a peak.
     constexpr Duration arrivalWindow { 400 };
-    // A pool grows this long before an expected peak: a move takes 1.5 s, and the new server is used a little later.
-    constexpr Duration peakLeadTime { 2000 };
-    // An expected peak that has not begun by then is not waited for.
-    constexpr Duration maxPeakDelay { 700 };
     // Minimum time assumed until the deadline of active work. More servers cannot help work that is due sooner.
     constexpr Duration minTimeLeft { 700 };
     // Servers in addition to those that a long-running step occupies: one for a server evicted by maintenance, and one
@@ -39,15 +35,13 @@
 {
     if (job.isLongRunning || job.activeOccurrences.empty())
         return;
-    const auto work = detail::remainingWork(job.spec, job.activeOccurrences.begin()->second);
-    this->arrivals[job.service].push_back({ this->clock.now(), work });
-    this->peakForecast.recordArrival(job.service, work, this->clock.now());
+    this->arrivals[job.service].push_back(
+        { this->clock.now(), detail::remainingWork(job.spec, job.activeOccurrences.begin()->second) });
 }
 
 void JobScheduler::expireArrivals()
 {
     const auto now = this->clock.now();
-    this->peakForecast.update(now);
     for (auto& [service, list] : this->arrivals) {
         while (!list.empty() && now - list.front().at > arrivalWindow)
             list.pop_front();
@@ -78,13 +72,7 @@
         for (const auto& arrival : list->second)
             arriving += arrival.work;
     }
-    std::int64_t expected = 0;
-    if (const auto peak = this->peakForecast.nextPeak(service)) {
-        const auto untilPeak = peak->beginsAt - this->clock.now();
-        if (untilPeak <= peakLeadTime && untilPeak >= -maxPeakDelay)
-            expected = peak->millicores;
-    }
-    return std::max({ activeWork, arriving / arrivalWindow.count(), expected }) + longRunningWork;
+    return std::max(activeWork, arriving / arrivalWindow.count()) + longRunningWork;
 }
 
 int JobScheduler::requiredServers(std::string_view service) const
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -6,7 +6,6 @@
 // this scheduler's orders. The scheduler does no I/O: it sends orders through hooks and receives the answers as calls.
 #pragma once
 
-#include "job/peak-forecast.h"
 #include "job/server-table.h"
 
 #include <waxwinglug/fleet-platform.h>
@@ -134,8 +133,8 @@
     std::map<std::string, int> pendingJobsByQueue() const;
     std::optional<JobStatus> jobStatus(std::string_view job);
 
-    // Processor capacity in thousandths of a core that a service requires to complete its work in time: active,
-    // arriving and soon expected work, and its long-running tasks.
+    // Processor capacity in thousandths of a core that a service requires to complete its work in time: active and
+    // arriving work, and its long-running tasks.
     std::int64_t requiredMillicores(std::string_view service) const;
     // Number of servers required by the largest long-running step of a service, including spares to move its tasks to.
     int requiredServers(std::string_view service) const;
@@ -312,7 +311,6 @@
         std::int64_t work = 0; // thousandths of a core times milliseconds
     };
     std::map<std::string, std::deque<Arrival>, std::less<>> arrivals;
-    PeakForecast peakForecast { PeakForecastRules {} };
     std::set<std::string, std::less<>> evacuatedDataCentres;
     std::set<std::string> maintenancePendingMachines;
     std::set<std::string> cordonedMachines;
