Log what each read of a table and each load of a leader takes

One line for each table read (rows, encoded bytes, pages, late and stale pages, ms), one for each page that did not arrive, and the phases of a load (rows, relays, decoding) in `lead begins`. Followers get their clock and timers as hooks, so that tests can simulate them, and RowStore::list takes a row limit; no behaviour changes.

--- a/include/waxwinglug/fleet-platform.h
+++ b/include/waxwinglug/fleet-platform.h
@@ -56,6 +56,18 @@
     std::vector<StoredRow> conflicts;
 };
 
+// Bounds of one answer of RowStore::list.
+struct PageLimits {
+    PageLimits(Duration pageTimeout, std::size_t pageRows = 500) // NOLINT(google-explicit-constructor)
+        : timeout(pageTimeout)
+        , maxRows(pageRows)
+    {
+    }
+
+    Duration timeout;
+    std::size_t maxRows;
+};
+
 struct RowPage {
     std::vector<StoredRow> rows;
     bool hasMore = false;
@@ -80,8 +92,7 @@
     std::function<void(RowTransaction, Duration deadline, std::function<void(TransactionResult)>)> commit;
     // Lists rows of one table and part, from the key `from` up to but not including `end`; an empty `end` is no bound.
     // The handler gets nullopt when the store does not answer.
-    std::function<void(RowName from, std::string end, Duration deadline, std::function<void(std::optional<RowPage>)>)>
-        list;
+    std::function<void(RowName from, std::string end, PageLimits, std::function<void(std::optional<RowPage>)>)> list;
     // Gets the changes of a table after a version; answers at the first change or at the end of the wait.
     std::function<void(std::string table, std::uint64_t after, Duration wait, std::function<void(FollowResult)>)>
         follow;
--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -210,8 +210,8 @@
 
     void followConfig()
     {
-        this->configFollower = std::make_unique<TableFollower>(this->context, this->platform.store,
-            this->platform.formats.operatorTable, std::vector<std::string> { "" }, 0,
+        this->configFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock),
+            this->platform.store, this->platform.formats.operatorTable, std::vector<std::string> { "" }, 0,
             this->followerHooks(
                 [this](std::span<const StoredRow> rows, bool isFullRead) { this->onOperatorRows(rows, isFullRead); }));
         this->configFollower->start();
@@ -302,8 +302,8 @@
 
     void followLeadership()
     {
-        this->leadershipFollower = std::make_unique<TableFollower>(this->context, this->platform.store,
-            Leadership::table, std::vector<std::string> { Leadership::part }, 0,
+        this->leadershipFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock),
+            this->platform.store, Leadership::table, std::vector<std::string> { Leadership::part }, 0,
             this->followerHooks([this](std::span<const StoredRow> rows, bool) {
                 this->leadership.observe(rows);
                 this->startSession();
--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -209,6 +209,7 @@
 
 void LeaderSession::start()
 {
+    this->startedAt = this->clock.now();
     const auto follower = [this](auto apply) {
         FollowerHooks follow;
         follow.onFullRead = this->guarded([apply](std::span<const StoredRow> rows) { apply(rows, true); });
@@ -218,14 +219,14 @@
         return follow;
     };
     const auto minVersion = this->leadership.leaderCondition().version;
-    this->serverFollower = std::make_unique<TableFollower>(this->context, this->platform.store,
-        this->platform.formats.serverTable, std::vector<std::string> { "" }, minVersion,
+    this->serverFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock),
+        this->platform.store, this->platform.formats.serverTable, std::vector<std::string> { "" }, minVersion,
         follower([this](auto rows, bool isFullRead) { this->onServers(rows, isFullRead); }));
-    this->jobFollower
-        = std::make_unique<TableFollower>(this->context, this->platform.store, tables::jobs, tables::allJobParts(),
-            minVersion, follower([this](auto rows, bool isFullRead) { this->onJobs(rows, isFullRead); }));
-    this->entryVmFollower = std::make_unique<TableFollower>(this->context, this->platform.store, tables::entryVms,
-        std::vector<std::string> { tables::entryVmPart }, 0,
+    this->jobFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock), this->platform.store,
+        tables::jobs, tables::allJobParts(), minVersion,
+        follower([this](auto rows, bool isFullRead) { this->onJobs(rows, isFullRead); }));
+    this->entryVmFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock),
+        this->platform.store, tables::entryVms, std::vector<std::string> { tables::entryVmPart }, 0,
         follower([this](auto rows, bool isFullRead) { this->onEntryVms(rows, isFullRead); }));
     this->entryVmFollower->start();
     this->serverFollower->start();
@@ -400,8 +401,9 @@
     follow.onChanges = [](std::span<const StoredRow>) { /* this leader's own writes */ };
     follow.onAnswer = follow.onNoAnswer = [] { /* the followers of FleetNode monitor the store */ };
     follow.log = this->hooks.log;
-    this->initialReaders.push_back(std::make_unique<TableFollower>(this->context, this->platform.store, table,
-        std::vector<std::string> { Leadership::part }, this->leadership.leaderCondition().version, std::move(follow)));
+    this->initialReaders.push_back(std::make_unique<TableFollower>(followerTime(this->context, this->clock),
+        this->platform.store, table, std::vector<std::string> { Leadership::part },
+        this->leadership.leaderCondition().version, std::move(follow)));
     this->initialReaders.back()->start();
 }
 
@@ -416,6 +418,7 @@
     }
     if (!this->relayedServers->isReady() && this->clock.now() - this->rowsLoadedAt < maxRelayWait)
         return; // tick() tries again
+    const auto decodingSince = this->clock.now();
     this->loadJobs();
     this->hasLoaded = true;
     // Deferred, because a reader may be on the call stack.
@@ -426,7 +429,10 @@
         this->machineMaintenance.addWave(wave, this->maintainedMachines[std::to_string(number)]);
     this->hooks.log("lead begins",
         { { "fence", this->leadership.fence() }, { "jobs", this->jobScheduler.jobs().all().size() },
-            { "servers", this->jobScheduler.servers().size() } });
+            { "servers", this->jobScheduler.servers().size() },
+            { "rows_ms", (this->rowsLoadedAt - this->startedAt).count() },
+            { "relays_ms", (decodingSince - this->rowsLoadedAt).count() },
+            { "decode_ms", (this->clock.now() - decodingSince).count() } });
     this->listMachines();
     this->scheduleDispatch();
 }
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -121,6 +121,7 @@
     std::unique_ptr<TableFollower> serverFollower;
     std::unique_ptr<TableFollower> entryVmFollower;
     TimePoint relaysSelectedAt;
+    TimePoint startedAt;
     TimePoint rowsLoadedAt; // when all rows had been read
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer dispatchTimer;
--- a/src/io/process/table-follower.cpp
+++ b/src/io/process/table-follower.cpp
@@ -1,6 +1,9 @@
 // Reads a table page by page and follows its changes.
 #include "io/process/table-follower.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include <utility>
 
 namespace waxwinglug::io {
@@ -13,30 +16,55 @@
     // Delay after a call without an answer.
     constexpr Duration retryDelay { 100 };
 
+    // What one full read of a table took.
+    struct ReadCost {
+        TimePoint startedAt;
+        std::size_t bytes = 0; // keys and values, as decoded
+        int pages = 0;
+        int latePages = 0;
+        int stalePages = 0;
+    };
+
 } // namespace
 
+FollowerTime followerTime(boost::asio::io_context& context, Clock clock)
+{
+    return { std::move(clock), [&context](Duration delay, std::function<void()> action) {
+                const auto timer = std::make_shared<boost::asio::steady_timer>(context, delay);
+                timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& error) {
+                    if (!error)
+                        action();
+                });
+            } };
+}
+
 struct TableFollower::State : std::enable_shared_from_this<State> {
-    State(boost::asio::io_context& context, const RowStore& rowStore, std::string tableName,
+    State(FollowerTime followerTime, const RowStore& rowStore, std::string tableName,
         std::vector<std::string> tableParts, std::uint64_t minVersion, FollowerHooks followerHooks)
-        : store(rowStore)
+        : time(std::move(followerTime))
+        , store(rowStore)
         , table(std::move(tableName))
         , parts(std::move(tableParts))
         , lastVersion(minVersion)
         , hooks(std::move(followerHooks))
-        , timer(context)
     {
     }
 
     void retryLater(void (State::*step)())
     {
-        this->timer.expires_after(retryDelay);
-        this->timer.async_wait([weak = this->weak_from_this(), step](const boost::system::error_code& error) {
-            const auto self = weak.lock();
-            if (!error && self)
+        this->time.runAfter(retryDelay, [weak = this->weak_from_this(), step] {
+            if (const auto self = weak.lock())
                 (self.get()->*step)();
         });
     }
 
+    // Reads the table for the first time, or again after the history was lost.
+    void beginRead()
+    {
+        this->cost = { this->time.clock.now(), 0, 0, 0, 0 };
+        this->readTable();
+    }
+
     void readTable()
     {
         this->rows.clear();
@@ -50,6 +78,7 @@
     {
         // The smallest key after the last one that was read.
         const auto key = this->lastKey.empty() ? std::string() : this->lastKey + '\0';
+        this->pageRequestedAt = this->time.clock.now();
         this->store.list({ this->table, this->parts[this->partIndex], key }, "", pageTimeout,
             [weak = this->weak_from_this()](std::optional<RowPage> page) {
                 if (const auto self = weak.lock())
@@ -60,11 +89,16 @@
     void onPage(std::optional<RowPage> page)
     {
         if (!page) {
+            ++this->cost.latePages;
+            this->hooks.log("a page of a table was not read",
+                { { "table", this->table }, { "part", this->parts[this->partIndex] }, { "rows", this->rows.size() },
+                    { "ms", this->pageAge().count() } });
             this->recordNoAnswer();
             return this->retryLater(&State::readTable);
         }
         this->recordAnswer();
         if (page->version < this->lastVersion) {
+            ++this->cost.stalePages;
             this->hooks.log("stale answer of the store is read again",
                 { { "table", this->table }, { "version", page->version }, { "known", this->lastVersion } });
             return this->retryLater(&State::readTable);
@@ -73,6 +107,9 @@
         // missed.
         if (this->firstPageVersion == 0)
             this->firstPageVersion = page->version;
+        ++this->cost.pages;
+        for (const auto& row : page->rows)
+            this->cost.bytes += row.name.key.size() + row.value.size();
         const bool hasMore = page->hasMore && !page->rows.empty();
         this->lastKey = hasMore ? page->rows.back().name.key : std::string();
         std::ranges::move(page->rows, std::back_inserter(this->rows));
@@ -81,6 +118,7 @@
         this->lastVersion = std::max(this->lastVersion, this->firstPageVersion);
         const auto allRows = std::exchange(this->rows, {});
         const auto self = this->shared_from_this();
+        this->logRead(allRows.size());
         this->hooks.onFullRead(allRows);
         this->follow();
     }
@@ -104,7 +142,7 @@
         if (result.status == FollowStatus::HistoryGone) {
             this->hooks.log(
                 "history of the store is gone", { { "table", this->table }, { "known", this->lastVersion } });
-            return this->readTable();
+            return this->beginRead();
         }
         this->lastVersion = std::max(this->lastVersion, result.version);
         if (!result.rows.empty())
@@ -112,6 +150,16 @@
         this->follow();
     }
 
+    Duration pageAge() const { return this->time.clock.now() - this->pageRequestedAt; }
+
+    void logRead(std::size_t rowCount)
+    {
+        this->hooks.log("table is read",
+            { { "table", this->table }, { "rows", rowCount }, { "bytes", this->cost.bytes },
+                { "pages", this->cost.pages }, { "late", this->cost.latePages }, { "stale", this->cost.stalePages },
+                { "ms", (this->time.clock.now() - this->cost.startedAt).count() } });
+    }
+
     void recordNoAnswer()
     {
         this->hooks.onNoAnswer();
@@ -127,27 +175,30 @@
         this->hooks.onAnswer();
     }
 
+    const FollowerTime time;
     const RowStore& store;
     const std::string table;
     const std::vector<std::string> parts;
     std::uint64_t lastVersion;
     const FollowerHooks hooks;
-    boost::asio::steady_timer timer;
     std::vector<StoredRow> rows; // pages read so far
     std::size_t partIndex = 0; // index of the part that is being read
     std::string lastKey; // last key read from this part; empty: none
     std::uint64_t firstPageVersion = 0;
+    ReadCost cost;
+    TimePoint pageRequestedAt;
     bool isUnavailable = false;
 };
 
-TableFollower::TableFollower(boost::asio::io_context& context, const RowStore& store, std::string table,
+TableFollower::TableFollower(FollowerTime time, const RowStore& store, std::string table,
     std::vector<std::string> parts, std::uint64_t minVersion, FollowerHooks hooks)
-    : state(std::make_shared<State>(context, store, std::move(table), std::move(parts), minVersion, std::move(hooks)))
+    : state(std::make_shared<State>(
+        std::move(time), store, std::move(table), std::move(parts), minVersion, std::move(hooks)))
 {
 }
 
 TableFollower::~TableFollower() = default;
 
-void TableFollower::start() { this->state->readTable(); }
+void TableFollower::start() { this->state->beginRead(); }
 
 } // namespace waxwinglug::io
--- a/src/io/process/table-follower.h
+++ b/src/io/process/table-follower.h
@@ -5,17 +5,28 @@
 #include <waxwinglug/fleet-platform.h>
 #include <waxwinglug/log-field.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <span>
 #include <string>
 #include <vector>
 
+namespace boost::asio {
+class io_context;
+}
+
 namespace waxwinglug::io {
 
+// The clock and the timers of a follower.
+struct FollowerTime {
+    Clock clock;
+    std::function<void(Duration, std::function<void()>)> runAfter;
+};
+
+// Timers of the event loop, which must outlive the followers.
+FollowerTime followerTime(boost::asio::io_context& context, Clock clock);
+
 struct FollowerHooks {
     // All rows of the table; earlier rows that are not among them were removed.
     std::function<void(std::span<const StoredRow>)> onFullRead;
@@ -31,8 +42,8 @@
 public:
     // `minVersion` is a version that the table has reached; an answer with an older version is stale and requested
     // again.
-    TableFollower(boost::asio::io_context& context, const RowStore& store, std::string table,
-        std::vector<std::string> parts, std::uint64_t minVersion, FollowerHooks hooks);
+    TableFollower(FollowerTime time, const RowStore& store, std::string table, std::vector<std::string> parts,
+        std::uint64_t minVersion, FollowerHooks hooks);
     ~TableFollower();
     TableFollower(const TableFollower&) = delete;
     TableFollower& operator=(const TableFollower&) = delete;
