Read tables in pages that fit the link, and keep what was read

After 42 s no VM became a working leader: fences 3 to 7 never reached `lead begins`, tasks that last never ran again, counts of waiting jobs were those of the last working leader.

Cause: a page had up to 500 rows (about 0.7 MB of 1 KB rows) and 0.9 s; on a link of 2 Mbit/s it takes 2.8 s. Each late page discarded all that had been read. Four tables were read at once, and heartbeats waited behind their pages, so the leader lost its term as well.

Now a page that does not arrive is requested again and earlier pages are kept. Following still starts at the version of the first page, and a page older than the first one is read again (it was accepted before when it was newer than the term).

--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -216,6 +216,7 @@
         follow.onChanges = this->guarded([apply](std::span<const StoredRow> rows) { apply(rows, false); });
         follow.onAnswer = follow.onNoAnswer = [] { /* the followers of FleetNode monitor the store */ };
         follow.log = this->hooks.log;
+        follow.pageBudget = this->pageBudget;
         return follow;
     };
     const auto minVersion = this->leadership.leaderCondition().version;
@@ -401,6 +402,7 @@
     follow.onChanges = [](std::span<const StoredRow>) { /* this leader's own writes */ };
     follow.onAnswer = follow.onNoAnswer = [] { /* the followers of FleetNode monitor the store */ };
     follow.log = this->hooks.log;
+    follow.pageBudget = this->pageBudget;
     this->initialReaders.push_back(std::make_unique<TableFollower>(followerTime(this->context, this->clock),
         this->platform.store, table, std::vector<std::string> { Leadership::part },
         this->leadership.leaderCondition().version, std::move(follow)));
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -117,6 +117,8 @@
     std::shared_ptr<const FleetConfig> fleetConfig;
     bool isListingMachines = false; // a request for the machine list is in progress
     TimePoint machineListRequestedAt; // start of the latest request
+    // All tables are read over the link that heartbeats and callers use.
+    const std::shared_ptr<PageBudget> pageBudget = std::make_shared<PageBudget>();
     std::unique_ptr<TableFollower> jobFollower;
     std::unique_ptr<TableFollower> serverFollower;
     std::unique_ptr<TableFollower> entryVmFollower;
--- a/src/io/process/table-follower.cpp
+++ b/src/io/process/table-follower.cpp
@@ -1,6 +1,8 @@
 // Reads a table page by page and follows its changes.
 #include "io/process/table-follower.h"
 
+#include "job/bounded-transaction.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -9,22 +11,32 @@
 namespace waxwinglug::io {
 namespace {
 
-    // Timeout of reading one page: several slow answers of the store (60 times 4 ms) and the transfer of 1 MB.
-    constexpr Duration pageTimeout { 900 };
     // Without changes the store answers after this time, so that a dead connection is detected within about a second.
     constexpr Duration maxFollowWait { 500 };
     // Delay after a call without an answer.
     constexpr Duration retryDelay { 100 };
 
+    // Encoded size of a row before the first one of its table is known.
+    constexpr std::size_t assumedRowBytes = 2'000;
+
     // What one full read of a table took.
     struct ReadCost {
         TimePoint startedAt;
-        std::size_t bytes = 0; // keys and values, as decoded
+        std::size_t rows = 0;
+        std::size_t bytes = 0; // as encoded
         int pages = 0;
         int latePages = 0;
         int stalePages = 0;
     };
 
+    std::size_t pageSize(const RowPage& page)
+    {
+        std::size_t bytes = 0;
+        for (const auto& row : page.rows)
+            bytes += encodedSize(row.name, row.value.size());
+        return bytes;
+    }
+
 } // namespace
 
 FollowerTime followerTime(boost::asio::io_context& context, Clock clock)
@@ -47,6 +59,7 @@
         , parts(std::move(tableParts))
         , lastVersion(minVersion)
         , hooks(std::move(followerHooks))
+        , pageBudget(hooks.pageBudget ? hooks.pageBudget : std::make_shared<PageBudget>())
     {
     }
 
@@ -58,67 +71,89 @@
         });
     }
 
-    // Reads the table for the first time, or again after the history was lost.
-    void beginRead()
-    {
-        this->cost = { this->time.clock.now(), 0, 0, 0, 0 };
-        this->readTable();
-    }
-
+    // Reads all rows, for the first time or after the history was lost.
     void readTable()
     {
+        this->cost = {};
+        this->cost.startedAt = this->time.clock.now();
         this->rows.clear();
         this->firstPageVersion = 0;
         this->partIndex = 0;
         this->lastKey.clear();
-        this->readPage();
+        this->requestPage();
+    }
+
+    void requestPage()
+    {
+        this->pageBudget->acquire([weak = this->weak_from_this(), budget = this->pageBudget] {
+            if (const auto self = weak.lock())
+                self->readPage();
+            else
+                budget->release();
+        });
     }
 
     void readPage()
     {
+        const auto page
+            = this->pageBudget->nextPage(this->cost.rows == 0 ? assumedRowBytes : this->cost.bytes / this->cost.rows);
         // The smallest key after the last one that was read.
         const auto key = this->lastKey.empty() ? std::string() : this->lastKey + '\0';
-        this->pageRequestedAt = this->time.clock.now();
-        this->store.list({ this->table, this->parts[this->partIndex], key }, "", pageTimeout,
-            [weak = this->weak_from_this()](std::optional<RowPage> page) {
-                if (const auto self = weak.lock())
-                    self->onPage(std::move(page));
+        this->store.list({ this->table, this->parts[this->partIndex], key }, "", { page.timeout, page.rows },
+            [weak = this->weak_from_this(), budget = this->pageBudget, requested = page, now = this->time.clock.now,
+                requestedAt = this->time.clock.now()](std::optional<RowPage> answer) {
+                const auto elapsed = now() - requestedAt;
+                if (answer)
+                    budget->recordPage(pageSize(*answer), !answer->hasMore, elapsed);
+                else
+                    budget->recordFailure(elapsed, requested.timeout);
+                budget->release();
+                const auto self = weak.lock();
+                if (!self)
+                    return;
+                if (answer)
+                    self->onPage(std::move(*answer));
+                else
+                    self->onMissingPage(requested, elapsed);
             });
     }
 
-    void onPage(std::optional<RowPage> page)
+    void onMissingPage(const PageBudget::Page& requested, Duration elapsed)
+    {
+        ++this->cost.latePages;
+        this->hooks.log("a page of a table was not read",
+            { { "table", this->table }, { "part", this->parts[this->partIndex] }, { "limit", requested.rows },
+                { "ms", elapsed.count() }, { "rows_read", this->rows.size() } });
+        this->recordNoAnswer();
+        this->retryLater(&State::requestPage);
+    }
+
+    void onPage(RowPage page)
     {
-        if (!page) {
-            ++this->cost.latePages;
-            this->hooks.log("a page of a table was not read",
-                { { "table", this->table }, { "part", this->parts[this->partIndex] }, { "rows", this->rows.size() },
-                    { "ms", this->pageAge().count() } });
-            this->recordNoAnswer();
-            return this->retryLater(&State::readTable);
-        }
         this->recordAnswer();
-        if (page->version < this->lastVersion) {
+        // Following starts at the version of the first page, so that no change made while later pages were read is
+        // missed; a later page that is older than the first one would miss changes.
+        const auto knownVersion = std::max(this->lastVersion, this->firstPageVersion);
+        if (page.version < knownVersion) {
             ++this->cost.stalePages;
             this->hooks.log("stale answer of the store is read again",
-                { { "table", this->table }, { "version", page->version }, { "known", this->lastVersion } });
-            return this->retryLater(&State::readTable);
+                { { "table", this->table }, { "version", page.version }, { "known", knownVersion } });
+            return this->retryLater(&State::requestPage);
         }
-        // Following starts at the version of the first page, so that no change made while later pages were read is
-        // missed.
         if (this->firstPageVersion == 0)
-            this->firstPageVersion = page->version;
+            this->firstPageVersion = page.version;
         ++this->cost.pages;
-        for (const auto& row : page->rows)
-            this->cost.bytes += row.name.key.size() + row.value.size();
-        const bool hasMore = page->hasMore && !page->rows.empty();
-        this->lastKey = hasMore ? page->rows.back().name.key : std::string();
-        std::ranges::move(page->rows, std::back_inserter(this->rows));
+        this->cost.rows += page.rows.size();
+        this->cost.bytes += pageSize(page);
+        const bool hasMore = page.hasMore && !page.rows.empty();
+        this->lastKey = hasMore ? page.rows.back().name.key : std::string();
+        std::ranges::move(page.rows, std::back_inserter(this->rows));
         if (hasMore || ++this->partIndex < this->parts.size())
-            return this->readPage();
+            return this->requestPage();
         this->lastVersion = std::max(this->lastVersion, this->firstPageVersion);
         const auto allRows = std::exchange(this->rows, {});
         const auto self = this->shared_from_this();
-        this->logRead(allRows.size());
+        this->logRead();
         this->hooks.onFullRead(allRows);
         this->follow();
     }
@@ -142,7 +177,7 @@
         if (result.status == FollowStatus::HistoryGone) {
             this->hooks.log(
                 "history of the store is gone", { { "table", this->table }, { "known", this->lastVersion } });
-            return this->beginRead();
+            return this->readTable();
         }
         this->lastVersion = std::max(this->lastVersion, result.version);
         if (!result.rows.empty())
@@ -150,12 +185,10 @@
         this->follow();
     }
 
-    Duration pageAge() const { return this->time.clock.now() - this->pageRequestedAt; }
-
-    void logRead(std::size_t rowCount)
+    void logRead()
     {
         this->hooks.log("table is read",
-            { { "table", this->table }, { "rows", rowCount }, { "bytes", this->cost.bytes },
+            { { "table", this->table }, { "rows", this->cost.rows }, { "bytes", this->cost.bytes },
                 { "pages", this->cost.pages }, { "late", this->cost.latePages }, { "stale", this->cost.stalePages },
                 { "ms", (this->time.clock.now() - this->cost.startedAt).count() } });
     }
@@ -181,12 +214,12 @@
     const std::vector<std::string> parts;
     std::uint64_t lastVersion;
     const FollowerHooks hooks;
+    const std::shared_ptr<PageBudget> pageBudget;
     std::vector<StoredRow> rows; // pages read so far
     std::size_t partIndex = 0; // index of the part that is being read
     std::string lastKey; // last key read from this part; empty: none
     std::uint64_t firstPageVersion = 0;
     ReadCost cost;
-    TimePoint pageRequestedAt;
     bool isUnavailable = false;
 };
 
@@ -199,6 +232,6 @@
 
 TableFollower::~TableFollower() = default;
 
-void TableFollower::start() { this->state->beginRead(); }
+void TableFollower::start() { this->state->readTable(); }
 
 } // namespace waxwinglug::io
--- a/src/io/process/table-follower.h
+++ b/src/io/process/table-follower.h
@@ -1,7 +1,12 @@
 // Keeps a reader up to date with one table of the store: reads all rows, then follows the changes, and reads all rows
 // again when the store no longer has the history since the last change.
+//
+// Reading makes progress on any link: a page that does not arrive is requested again, possibly with fewer rows, and the
+// pages before it are kept.
 #pragma once
 
+#include "io/process/page-budget.h"
+
 #include <waxwinglug/fleet-platform.h>
 #include <waxwinglug/log-field.h>
 
@@ -36,6 +41,8 @@
     // A call got no answer.
     std::function<void()> onNoAnswer;
     LogHook log;
+    // Shared by followers that read over one link at the same time; nullptr: the follower has one of its own.
+    std::shared_ptr<PageBudget> pageBudget;
 };
 
 class TableFollower {
