Reset connections of calls that end without an answer

Cause: a call that timed out closed its connection in the normal way.

The connections now close with a reset. Idle connections do too: all that was sent on them has been answered.

Evidence: callThatTimesOutResetsItsConnection fails without the change (the peer reads an end of file) and passes with it.

--- a/src/io/connection/async-http-client.cpp
+++ b/src/io/connection/async-http-client.cpp
@@ -142,6 +142,10 @@
         this->stream.socket().set_option(tcp::no_delay(true), ignored);
         using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
         this->stream.socket().set_option(UserTimeout(unacknowledgedTimeoutMs), ignored);
+        // A call that ends without an answer resets its connection: the kernel then sends no further byte of the
+        // request, which could be carried out late, and the peer stops sending an answer that nobody reads. The option
+        // is set here because the stream closes the socket itself when a call times out.
+        this->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
         this->send();
     }
 
--- a/test/io/async-http-client-test.cpp
+++ b/test/io/async-http-client-test.cpp
@@ -3,10 +3,12 @@
 
 #include "io/connection/caller-server.h"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
+#include <array>
 #include <optional>
 
 namespace waxwinglug::io {
@@ -86,4 +88,18 @@
     EXPECT_EQ(this->client.openedConnections(), 2U);
 }
 
+// Guards against an order that reaches a server after its call has timed out, and against an answer that goes on using
+// the link: the peer must see a reset.
+TEST_F(AsyncHttpClientTest, callThatTimesOutResetsItsConnection)
+{
+    tcp::acceptor acceptor(this->context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    EXPECT_EQ(this->call(acceptor.local_endpoint().port(), Duration(100)).status, CallStatus::Unknown);
+    auto peer = acceptor.accept();
+    boost::system::error_code error;
+    std::array<char, 1000> bytes {};
+    while (!error)
+        peer.read_some(boost::asio::buffer(bytes), error);
+    EXPECT_EQ(error, boost::asio::error::connection_reset) << error.message();
+}
+
 } // namespace waxwinglug::io
