Log the phases of each change of the leader, and how long tasks wait

One line per term ("phases of the new term"): milliseconds since the last sign of the predecessor until leadership was tried for, acquired, the rows were read, the term began, the first task started, 50, 95 and 100 % of the inherited servers had answered, and nothing waited for them any more; -1 for a phase that was not reached. "tasks wait" says how long the oldest of them has waited.

--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -46,6 +46,7 @@
     , machineMaintenance(this->jobScheduler, this->machineList, maintenanceRules, source, this->maintenanceHooks())
     , poolMover(this->jobScheduler, this->machineList, PoolRules {}, maintenanceRules.initialQuietPeriod, source,
           this->poolMoverHooks())
+    , phases(source, nodeLeadership.predecessorSeenAt(), nodeLeadership.acquireSentAt())
     , fleetConfig(config)
     , tickTimer(io)
     , dispatchTimer(io)
@@ -77,6 +78,7 @@
 {
     JobSchedulerHooks scheduler;
     scheduler.start = [this](const ServerRecord& server, const StartOrder& order) {
+        this->phases.taskStarted();
         this->servers.start(server, order,
             this->guarded([this, id = server.id, task = order.task, run = order.run](OrderStatus status) {
                 this->jobScheduler.startAnswered(id, task, run, status);
@@ -416,6 +418,7 @@
         return;
     if (this->rowsLoadedAt == TimePoint {}) {
         this->rowsLoadedAt = this->clock.now();
+        this->phases.rowsRead();
         this->updateRelays();
     }
     if (!this->relayedServers->isReady() && this->clock.now() - this->rowsLoadedAt < maxRelayWait)
@@ -423,6 +426,7 @@
     const auto decodingSince = this->clock.now();
     this->loadJobs();
     this->hasLoaded = true;
+    this->phases.loaded(this->jobScheduler.unansweredInheritedServers());
     // Deferred, because a reader may be on the call stack.
     boost::asio::post(this->context, this->guarded([this] { this->initialReaders.clear(); }));
     for (const auto& job : this->inheritedCancellations)
@@ -476,6 +480,7 @@
         this->finishLoading();
     if (this->hasLoaded && this->leadership.canRenewLeases())
         this->jobScheduler.tick();
+    this->recordPhases();
     if (this->hasLoaded && this->clock.now() - this->machineListRequestedAt >= machineListInterval
         && this->jobScheduler.waitsForUnresponsiveServer())
         this->listMachines();
@@ -498,6 +503,19 @@
     this->storeChanges();
 }
 
+// Logs the phases of this term once nothing waits for the earlier leader any more.
+void LeaderSession::recordPhases()
+{
+    if (!this->hasLoaded || this->phases.isOver())
+        return;
+    const auto unanswered = this->jobScheduler.unansweredInheritedServers();
+    this->phases.serversUnanswered(unanswered);
+    if (unanswered > 0)
+        return;
+    this->phases.inheritedWorkReleased();
+    this->phases.log(this->hooks.log, this->leadership.fence());
+}
+
 void LeaderSession::releaseLeadership()
 {
     if (this->hasEnded)
@@ -514,6 +532,8 @@
 {
     if (std::exchange(this->hasEnded, true))
         return;
+    if (!this->phases.isOver())
+        this->phases.log(this->hooks.log, this->leadership.fence());
     this->hooks.log("lead ends", { { "fence", this->leadership.fence() }, { "reason", reason } });
     this->leadership.stepDown();
     // Deferred, because the handler destroys this session, which is still on the call stack.
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -11,6 +11,7 @@
 #include "job/machine-maintenance.h"
 #include "job/pool-mover.h"
 #include "job/scheduler.h"
+#include "job/term-phases.h"
 
 #include <waxwinglug/fleet-platform.h>
 
@@ -90,6 +91,7 @@
     void readOnce(const char* table, void (LeaderSession::*apply)(std::span<const StoredRow>));
     void finishLoading();
     void tick();
+    void recordPhases();
     void dispatch();
     void storeChanges();
     void sendWaveReports();
@@ -114,6 +116,7 @@
     MachineList machineList;
     MachineMaintenance machineMaintenance;
     PoolMover poolMover;
+    TermPhases phases;
     std::shared_ptr<const FleetConfig> fleetConfig;
     bool isListingMachines = false; // a request for the machine list is in progress
     TimePoint machineListRequestedAt; // start of the latest request
--- a/src/job/leadership.cpp
+++ b/src/job/leadership.cpp
@@ -126,6 +126,8 @@
 RowTransaction Leadership::acquire()
 {
     this->isAcquiring = true;
+    this->lastPredecessorSeenAt = this->heartbeatSeenAt;
+    this->attemptSentAt = this->clock.now();
     const bool earlierOrdersExpired = this->clock.wallNow() - this->termStartedAt >= this->timings.earlierOrdersExpiry;
     this->predecessorStopped = earlierOrdersExpired && (this->isReleased || this->heldByEarlierIncarnation);
     this->predecessorWasSelf = earlierOrdersExpired && this->heldByEarlierIncarnation;
--- a/src/job/leadership.h
+++ b/src/job/leadership.h
@@ -88,6 +88,11 @@
     // The same holds, and the previous leader was an earlier incarnation of this VM.
     bool wasPredecessorSelf() const { return this->predecessorWasSelf; }
 
+    // When the last sign of the previous leader was seen, as of the latest attempt to acquire leadership, and the start
+    // of that attempt.
+    TimePoint predecessorSeenAt() const { return this->lastPredecessorSeenAt; }
+    TimePoint acquireSentAt() const { return this->attemptSentAt; }
+
     // Condition of every transaction of the leader.
     RowCondition leaderCondition() const;
     bool isHeartbeatDue() const;
@@ -143,6 +148,8 @@
     bool isReleased = false; // the known leader has given up its term
     bool heldByEarlierIncarnation = false; // the known leader is an earlier incarnation of this VM
     TimePoint heartbeatSeenAt;
+    TimePoint lastPredecessorSeenAt;
+    TimePoint attemptSentAt; // latest attempt to acquire leadership
     TimePoint storeAnsweredAt;
     TimePoint lastCommitSentAt; // start of the last confirmed transaction, or when the own term was found in the table
     TimePoint lastCommitFailedAt;
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -78,19 +78,21 @@
 {
     if (!this->recordsWaits)
         return;
-    this->waitCounts[{ ready.job->service, ready.job->spec.team, reason }]
-        += ready.occurrence->steps[ready.step].waiting;
+    auto& wait = this->waits[{ ready.job->service, ready.job->spec.team, reason }];
+    wait.tasks += ready.occurrence->steps[ready.step].waiting;
+    wait.oldest = std::max(wait.oldest, this->clock.wallNow() - ready.occurrence->dueAt);
 }
 
 // Logs one line per second, service, team and reason, because there are too many waiting tasks to log each.
 void JobScheduler::logWaits()
 {
-    for (const auto& [key, tasks] : std::exchange(this->waitCounts, {})) {
+    for (const auto& [key, wait] : std::exchange(this->waits, {})) {
         const auto& [service, team, reason] = key;
         const auto use = this->teamAllocations.find(team);
         const auto unknown = this->unknownTeamUse.find(team);
         this->hooks.log("tasks wait",
-            { { "service", service }, { "team", team }, { "reason", reason }, { "tasks", tasks },
+            { { "service", service }, { "team", team }, { "reason", reason }, { "tasks", wait.tasks },
+                { "oldest_ms", wait.oldest.count() },
                 { "team_cpu", use == this->teamAllocations.end() ? 0 : use->second.cpu },
                 { "unknown_cpu", unknown == this->unknownTeamUse.end() ? 0 : unknown->second.cpu } });
     }
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -95,6 +95,8 @@
     // Applies the platform's machine list, requested at `askedAt`. Stops waiting for an unresponsive server whose
     // machine is down or runs another server.
     void updateMachines(std::span<const MachineRecord> machines, TimePoint askedAt);
+    // Number of servers of the earlier leader that have not answered and may run tasks that are unknown here.
+    std::size_t unansweredInheritedServers() const;
     // Returns true if work waits for an unresponsive server. The machine list may show whether that server still
     // exists.
     bool waitsForUnresponsiveServer() const;
@@ -291,7 +293,11 @@
     std::set<const detail::JobRecord*> inheritedJobs;
     std::map<std::string, Resources> teamAllocations;
     // Tasks that could not start in the latest full dispatch, by service, team and reason.
-    std::map<std::tuple<std::string, std::string, std::string_view>, int> waitCounts;
+    struct Wait {
+        int tasks = 0;
+        Duration oldest { 0 }; // longest time since an occurrence was due
+    };
+    std::map<std::tuple<std::string, std::string, std::string_view>, Wait> waits;
     TimePoint waitsLoggedAt;
     bool recordsWaits = false; // the current dispatch counts waiting tasks for the log
     // Upper bound of what each team may be running on servers that have not answered yet, computed by the latest
--- a/src/job/servers.cpp
+++ b/src/job/servers.cpp
@@ -138,6 +138,14 @@
     server.unresponsiveSince = this->termStartedAt;
 }
 
+std::size_t JobScheduler::unansweredInheritedServers() const
+{
+    if (this->clock.now() - this->termStartedAt > this->rules.maxInheritedLease)
+        return 0;
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->serverMap, [](const auto& entry) { return entry.second->inherited; }));
+}
+
 bool JobScheduler::waitsForUnresponsiveServer() const
 {
     const bool mayBeInherited = this->clock.now() - this->termStartedAt <= this->rules.maxInheritedLease;
