Don't send calls that have expired in the queue of a lane

Cause: a call that had waited in the queue until its time was over was sent with a time limit of 1 ms. The platform received it, and often carried it out, but its answer came too late; the connection was closed, and each following call needed a new one and expired as well.

Evidence: AsyncHttpClientTest callThatExpiresInTheQueueIsNotSent failed before: 3 requests sent over 3 connections, none of them reported as not sent; now 1 request, 1 connection, 2 reported as not sent.

Why it works: such a call ends as not sent, which is true, without a connection, and the next call gets the connection and its whole time.

--- a/src/io/connection/async-http-client.cpp
+++ b/src/io/connection/async-http-client.cpp
@@ -74,6 +74,7 @@
     }
 
     void startQueuedCalls(Lane& lane);
+    static void dropExpiredCalls(Lane& lane, TimePoint now);
     void closeIdleConnections();
 
     asio::io_context& context;
@@ -242,9 +243,23 @@
     std::optional<http::response_parser<http::string_body>> parser;
 };
 
+// A call that has waited in the queue for its whole timeout is not sent: it would fail, its connection would be lost
+// with it, and the calls behind it would wait until they expire as well.
+void AsyncHttpClient::Impl::dropExpiredCalls(Lane& lane, TimePoint now)
+{
+    while (!lane.queuedCalls.empty() && lane.queuedCalls.front().deadline <= now) {
+        const auto handler = std::move(lane.queuedCalls.front().handler);
+        lane.queuedCalls.pop_front();
+        handler({ CallStatus::NotSent, {}, "no connection was free in time" });
+    }
+}
+
 void AsyncHttpClient::Impl::startQueuedCalls(Lane& lane)
 {
-    while (!lane.queuedCalls.empty()) {
+    while (true) {
+        dropExpiredCalls(lane, this->clock.now());
+        if (lane.queuedCalls.empty())
+            return;
         std::shared_ptr<Connection> connection;
         while (!lane.idleConnections.empty() && !connection) {
             auto candidate = std::move(lane.idleConnections.back());
--- a/test/io/async-http-client-test.cpp
+++ b/test/io/async-http-client-test.cpp
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <thread>
@@ -142,4 +143,26 @@
     server.join();
 }
 
+// Guards against a queue in which every call waits until its time is over and is then sent in vain: such calls cost a
+// connection each, and the calls behind them wait until they expire as well.
+TEST_F(AsyncHttpClientTest, callThatExpiresInTheQueueIsNotSent)
+{
+    int requests = 0;
+    std::vector<Respond> unanswered;
+    const auto server = this->serve([&](const HttpRequest&, const Respond& respond) {
+        ++requests;
+        unanswered.push_back(respond);
+    });
+    std::vector<CallResult> results;
+    const auto addResult = [&results](CallResult answer) { results.push_back(std::move(answer)); };
+    for (const auto timeout : { 200, 100, 100 })
+        this->client.call(
+            { "127.0.0.1", server->port() }, { "GET", "/x", {}, "" }, { Duration(timeout), 0, 1 }, addResult);
+    while (results.size() < 3 && this->context.run_one() > 0) { }
+    ASSERT_EQ(results.size(), 3U);
+    EXPECT_EQ(requests, 1);
+    EXPECT_EQ(this->client.openedConnections(), 1U);
+    EXPECT_EQ(std::ranges::count(results, CallStatus::NotSent, &CallResult::status), 2);
+}
+
 } // namespace waxwinglug::io
