Send orders for machines as fast as the platform accepts them

Cause: the leader ordered a move for every machine that a pool lacked, all at once, and cordoned each of them; orders of the wave came in the same way. The platform accepts a limited number a second from all VMs and refuses the others; these were repeated 0.4 to 2 s later whether they could succeed or not, 300 to 500 orders a second for 5 to 30 machines that arrived, and machines stood idle, in no pool, for 5 to 19 s (machine m-99ac4: 14 orders from 12.6 to 29.7 s for a peak that was over at 18 s).

A machine is cordoned only when its order is sent. A refused move did nothing, so its machine works on, and the demand of the next tick decides where machines go. After an unanswered order, which may have been carried out, the move stays as before.

--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -43,6 +43,8 @@
     , leadershipOffer(std::make_shared<LeadershipOffer>(client, source, rules.fence, this->offerHooks()))
     , servers(this->relayedServers->calls())
     , jobScheduler(rules, source, this->schedulerHooks())
+    , maintenanceGate(source)
+    , moveGate(source)
     , machineMaintenance(this->jobScheduler, this->machineList, maintenanceRules, source, this->maintenanceHooks())
     , poolMover(this->jobScheduler, this->machineList, PoolRules {}, maintenanceRules.initialQuietPeriod, source,
           this->poolMoverHooks())
@@ -113,12 +115,15 @@
 {
     MachineMaintenanceHooks maintenance;
     maintenance.orderMaintenance = [this](const std::string& machine, int wave) {
+        this->maintenanceGate.sent();
         this->platform.machines.maintain(
             machine, wave, this->leadership.fence(), this->guarded([this, machine, wave](MachineOrderStatus status) {
+                this->maintenanceGate.answered(status);
                 this->machineMaintenance.orderAnswered(machine, wave, status);
                 this->scheduleDispatch();
             }));
     };
+    maintenance.mayOrder = [this] { return this->maintenanceGate.isOpen(); };
     maintenance.requestMachineList = [this] { this->listMachines(); };
     maintenance.isMoving = [this](const std::string& machine) { return this->poolMover.isMoving(machine); };
     maintenance.reportProgress = [this](const MachineWave& wave, bool completed, const std::set<std::string>& done) {
@@ -138,11 +143,14 @@
 {
     PoolMoverHooks mover;
     mover.orderMove = [this](const std::string& machine, const std::string& pool) {
+        this->moveGate.sent();
         this->platform.machines.move(
             machine, pool, this->leadership.fence(), this->guarded([this, machine, pool](MachineOrderStatus status) {
+                this->moveGate.answered(status);
                 this->poolMover.orderAnswered(machine, pool, status);
             }));
     };
+    mover.mayOrder = [this] { return this->moveGate.isOpen(); };
     mover.requestMachineList = [this] { this->listMachines(); };
     mover.isInMaintenance
         = [this](const std::string& machine) { return this->machineMaintenance.isInMaintenance(machine); };
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -9,6 +9,7 @@
 #include "job/bounded-transaction.h"
 #include "job/leadership.h"
 #include "job/machine-maintenance.h"
+#include "job/order-gate.h"
 #include "job/pool-mover.h"
 #include "job/scheduler.h"
 #include "job/term-phases.h"
@@ -114,6 +115,9 @@
     const ServerCalls servers;
     JobScheduler jobScheduler;
     MachineList machineList;
+    // Moves and maintenance have a gate each, so that neither keeps the other from ordering.
+    OrderGate maintenanceGate;
+    OrderGate moveGate;
     MachineMaintenance machineMaintenance;
     PoolMover poolMover;
     TermPhases phases;
--- a/src/job/machine-maintenance.cpp
+++ b/src/job/machine-maintenance.cpp
@@ -200,12 +200,12 @@
         const bool isReady
             = !server || server->runs.empty() || (!waitsForTasks && !JobScheduler::hasLongRunningTasks(*server));
         const bool hasCapacity = countInStages(wave, { Stage::Ordered, Stage::Down }) < wave.spec.maxMachinesDown;
-        if (isReady && hasCapacity && now >= machine.nextOrderAt)
+        if (isReady && hasCapacity && now >= machine.nextOrderAt && this->hooks.mayOrder())
             this->sendOrder(wave, name, machine);
         return;
     }
     case Stage::Ordered:
-        if (now >= machine.nextOrderAt)
+        if (now >= machine.nextOrderAt && this->hooks.mayOrder())
             this->sendOrder(wave, name, machine);
         return;
     case Stage::Down: {
--- a/src/job/machine-maintenance.h
+++ b/src/job/machine-maintenance.h
@@ -28,6 +28,8 @@
 
 struct MachineMaintenanceHooks {
     std::function<void(const std::string& machine, int wave)> orderMaintenance;
+    // The platform can take another order now.
+    std::function<bool()> mayOrder;
     std::function<void()> requestMachineList;
     // A move of the machine to another pool is in progress.
     std::function<bool(const std::string& machine)> isMoving;
--- a/src/job/pool-mover.cpp
+++ b/src/job/pool-mover.cpp
@@ -67,7 +67,7 @@
         if (move.isAccepted && (hasArrived || isListedThere || now - move.changedAt > maxMoveTime)) {
             this->scheduler.setCordoned(machine, false);
             this->moves.erase(current);
-        } else if (!move.isAccepted && now >= move.repeatAt) {
+        } else if (!move.isAccepted && now >= move.repeatAt && this->hooks.mayOrder()) {
             this->order(machine, move);
         }
     }
@@ -114,6 +114,9 @@
     for (const auto& move : this->balancer.decide(demands, machines, this->clock.now())) {
         if (this->rejectedMoves.contains({ move.machine, move.targetPool }))
             continue;
+        // The machine works on until its order can be sent.
+        if (!this->hooks.mayOrder())
+            return;
         const auto* server = this->scheduler.serverOnMachine(move.machine);
         auto& started = this->moves[move.machine];
         started.targetPool = move.targetPool;
@@ -159,9 +162,16 @@
         this->moves.erase(move);
         return;
     case MachineOrderStatus::Refused:
+        if (!move->second.isUnconfirmed) {
+            // Nothing was done. The machine works on, and later demand decides where it goes.
+            this->scheduler.setCordoned(machine, false);
+            this->moves.erase(move);
+            return;
+        }
         move->second.repeatAt = now + refusedOrderDelay;
         return;
     case MachineOrderStatus::Unknown:
+        move->second.isUnconfirmed = true;
         return; // repeated by followMoves(); the platform accepts a move that was already carried out
     }
 }
--- a/src/job/pool-mover.h
+++ b/src/job/pool-mover.h
@@ -18,6 +18,8 @@
 
 struct PoolMoverHooks {
     std::function<void(const std::string& machine, const std::string& pool)> orderMove;
+    // The platform can take another order now.
+    std::function<bool()> mayOrder;
     std::function<void()> requestMachineList;
     // The machine is cordoned for maintenance or down for it.
     std::function<bool(const std::string& machine)> isInMaintenance;
@@ -43,6 +45,7 @@
         std::string targetPool;
         std::string previousServer; // id of the server on the machine before the move; empty: none
         bool isAccepted = false;
+        bool isUnconfirmed = false; // an order had no answer, so the platform may have carried it out
         TimePoint changedAt; // when the latest order was sent or accepted
         TimePoint repeatAt;
     };
--- a/test/job/machine-maintenance-test.cpp
+++ b/test/job/machine-maintenance-test.cpp
@@ -14,6 +14,7 @@
         std::vector<std::string> orders;
         int reportCount = 0;
         bool completed = false;
+        bool mayOrder = true;
         std::set<std::string> movingMachines;
         std::unique_ptr<JobScheduler> scheduler;
         MachineList machines;
@@ -33,6 +34,7 @@
         {
             MachineMaintenanceHooks hooks;
             hooks.orderMaintenance = [this](const std::string& machine, int) { this->orders.push_back(machine); };
+            hooks.mayOrder = [this] { return this->mayOrder; };
             hooks.requestMachineList = [] {};
             hooks.isMoving = [this](const std::string& machine) { return this->movingMachines.contains(machine); };
             hooks.reportProgress = [this](const MachineWave&, bool done, const std::set<std::string>&) {
@@ -201,4 +203,21 @@
     EXPECT_TRUE(this->maintenance->isInMaintenance("m2"));
 }
 
+// Guards against refused orders that are repeated at once for every machine, which uses up the platform's limit.
+TEST_F(MachineMaintenanceTest, orderIsSentWhenThePlatformCanTakeIt)
+{
+    this->mayOrder = false;
+    this->addWave();
+    this->maintenance->tick();
+    EXPECT_TRUE(this->orders.empty());
+    this->mayOrder = true;
+    this->maintenance->tick();
+    EXPECT_EQ(this->orders.size(), 2U);
+    this->answer(std::vector(this->orders), MachineOrderStatus::Refused);
+    this->mayOrder = false;
+    this->clock.advance(Duration(1000));
+    this->maintenance->tick();
+    EXPECT_EQ(this->orders.size(), 2U);
+}
+
 } // namespace waxwinglug
--- a/test/job/pool-mover-test.cpp
+++ b/test/job/pool-mover-test.cpp
@@ -1,4 +1,4 @@
-// When a new leader may order its first moves.
+// When moves are ordered, and what becomes of refused ones.
 #include "job/pool-mover.h"
 
 #include <gtest/gtest.h>
@@ -20,6 +20,7 @@
         std::unique_ptr<PoolMover> mover;
         std::vector<std::string> orders;
         std::vector<MachineRecord> machines;
+        bool mayOrder = true;
 
         void SetUp() override
         {
@@ -36,6 +37,7 @@
             PoolMoverHooks moverHooks;
             moverHooks.orderMove
                 = [this](const std::string& machine, const std::string&) { this->orders.push_back(machine); };
+            moverHooks.mayOrder = [this] { return this->mayOrder; };
             moverHooks.requestMachineList = [this] { this->list.replace(this->machines, this->clock.now()); };
             moverHooks.isInMaintenance = [](const std::string&) { return false; };
             moverHooks.log = hooks.log;
@@ -97,4 +99,50 @@
     EXPECT_TRUE(this->isOrdered("spare0"));
 }
 
+// Guards against machines that stand idle for many seconds, in no pool, while the platform refuses their moves.
+TEST_F(PoolMoverTest, machineOfARefusedMoveWorksOn)
+{
+    this->addWork();
+    this->mover->tick(this->config);
+    this->clock.advance(Duration(1100)); // machines without a server are not moved yet
+    this->mover->tick(this->config);
+    ASSERT_FALSE(this->orders.empty());
+    const auto machine = this->orders.front();
+    EXPECT_TRUE(this->scheduler->serverOnMachine(machine)->cordoned);
+    this->mover->orderAnswered(machine, "press", MachineOrderStatus::Refused);
+    EXPECT_FALSE(this->mover->isMoving(machine));
+    EXPECT_FALSE(this->scheduler->serverOnMachine(machine)->cordoned);
+}
+
+// Guards against a second order that is given up although the first one may have been carried out.
+TEST_F(PoolMoverTest, refusalAfterAnUnansweredOrderDoesNotEndTheMove)
+{
+    this->addWork();
+    this->mover->tick(this->config);
+    this->clock.advance(Duration(1100)); // machines without a server are not moved yet
+    this->mover->tick(this->config);
+    ASSERT_FALSE(this->orders.empty());
+    const auto machine = this->orders.front();
+    this->mover->orderAnswered(machine, "press", MachineOrderStatus::Unknown);
+    this->mover->orderAnswered(machine, "press", MachineOrderStatus::Refused);
+    EXPECT_TRUE(this->mover->isMoving(machine));
+}
+
+// Guards against machines that get no tasks while their order waits to be sent.
+TEST_F(PoolMoverTest, machinesWorkOnUntilTheirOrderCanBeSent)
+{
+    this->addWork();
+    this->mayOrder = false;
+    this->mover->tick(this->config);
+    this->clock.advance(Duration(1100));
+    this->mover->tick(this->config);
+    EXPECT_TRUE(this->orders.empty());
+    for (const auto& [id, server] : this->scheduler->servers())
+        EXPECT_FALSE(server->cordoned);
+    this->mayOrder = true;
+    this->mover->tick(this->config);
+    ASSERT_FALSE(this->orders.empty());
+    EXPECT_TRUE(this->scheduler->serverOnMachine(this->orders.front())->cordoned);
+}
+
 } // namespace waxwinglug
