Tell numbers of pending jobs only with a known age

The row had no age, and the leader's own counts none either.

The store's answers carry its steady clock; it is decoded once and passed on with pages, changes and the moment of each followed table. The leader stores the moment as of which it knew all jobs, again with a heartbeat while nothing changes; a reader compares it with the store time of its own read. Figures older than 2 s, or of unknown age, are refused. The leader answers from memory while its job feed was answered within 2 s. The row has a new key, because a VM of the earlier version would end on the new form. The log line of an answer carries source and age; ages of followed tables are metrics, and logged above 1.5 s.

In the same file: a progress row of another form ended the process (state of another type) or gave 500; now 503. Reads that show an earlier state of the store than this VM knows (410 for an accepted job) are repeated.

JobGateway waits through a hook, so that its tests run on a paused clock.

--- a/include/waxwinglug/fleet-platform.h
+++ b/include/waxwinglug/fleet-platform.h
@@ -6,6 +6,7 @@
 #include <waxwinglug/server-orders.h>
 #include <waxwinglug/work.h>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <span>
@@ -15,6 +16,10 @@
 
 namespace waxwinglug {
 
+// Milliseconds on the steady clock of the row store. Its answers carry this time, so that one node can tell how old
+// another node's record is.
+using StoreTime = std::int64_t;
+
 // Name of a row. A table is divided into parts, and a transaction cannot span parts.
 struct RowName {
     std::string table;
@@ -73,6 +78,8 @@
     bool hasMore = false;
     // Latest version in the store when the page was read.
     std::uint64_t version = 0;
+    // When the page was read; nothing if the answer does not say.
+    std::optional<StoreTime> time {};
 };
 
 enum class FollowStatus {
@@ -86,6 +93,10 @@
     std::vector<StoredRow> rows;
     // Version after which the next call continues.
     std::uint64_t version = 0;
+    // When the store answered; nothing if the answer does not say.
+    std::optional<StoreTime> time {};
+    // The answer may not hold all changes made until then.
+    bool mayHaveMore = false;
 };
 
 struct RowStore {
--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -43,6 +43,8 @@
     // Limit per event. Each decision about a request or a task is logged, and a leader starts several hundred tasks a
     // second. A line takes about 10 us of processor time.
     constexpr int maxLogLinesPerSecond = 400;
+    // A follow call without changes takes 0.5 s, and the next one begins after it; older copies are logged.
+    constexpr Duration maxUsualTableAge { 1500 };
     constexpr std::uint64_t defaultMaxBodyBytes = 256ULL * 1024;
 
     // A clock that advances while the VM is suspended, which std::chrono::steady_clock does not. A leader that resumes
@@ -88,7 +90,7 @@
         , relay(std::make_shared<OrderRelay>(
               this->context, this->platform.servers, this->settings.name, this->clock, this->logHook()))
         , leadership({}, this->clock, this->settings.name, this->settings.processorMillicores, this->random)
-        , gateway(this->context, this->platform, this->clock, this->metrics, this->gatewayHooks())
+        , gateway(this->platform, this->clock, this->metrics, this->gatewayHooks())
         , signals(this->context, SIGTERM, SIGINT, SIGHUP)
         , tickTimer(this->context)
         , registrationTimer(this->context)
@@ -121,12 +123,17 @@
     {
         JobGatewayHooks hooks;
         hooks.activeConfig = [this] { return this->config; };
-        hooks.pendingJobs = [this]() -> std::optional<std::map<std::string, int>> {
-            if (!this->session || !this->session->isLoaded() || !this->leadership.isValid())
-                return std::nullopt;
-            return this->session->scheduler().pendingJobsByQueue();
-        };
+        hooks.pendingJobs = [this] { return this->session ? this->session->pendingCounts() : std::nullopt; };
         hooks.isStoreAvailable = [this] { return this->isStoreAvailable(); };
+        hooks.knownStoreVersion
+            = [this] { return std::max(this->configMoment.version, this->leadershipMoment.version); };
+        hooks.runLater = [this](Duration delay, std::function<void()> run) {
+            auto timer = std::make_shared<boost::asio::steady_timer>(this->context, delay);
+            timer->async_wait([timer, run = std::move(run)](const boost::system::error_code& error) {
+                if (!error)
+                    run();
+            });
+        };
         hooks.log = this->logHook();
         return hooks;
     }
@@ -186,10 +193,13 @@
         return this->config && !this->isStopping && this->clock.now() - this->storeAnsweredAt < maxStoreAnswerAge;
     }
 
-    // `apply` learns whether the rows are all of the table or changes.
-    FollowerHooks followerHooks(const std::function<void(std::span<const StoredRow>, bool isFullRead)>& apply)
+    // `apply` learns whether the rows are all of the table or changes; `moment` becomes the latest one that they
+    // describe.
+    FollowerHooks followerHooks(
+        TableMoment& moment, const std::function<void(std::span<const StoredRow>, bool isFullRead)>& apply)
     {
         FollowerHooks hooks;
+        hooks.onCurrent = [&moment](const TableMoment& latest) { moment = latest; };
         hooks.onFullRead = [apply](std::span<const StoredRow> rows) { apply(rows, true); };
         hooks.onChanges = [apply](std::span<const StoredRow> rows) { apply(rows, false); };
         hooks.onAnswer = [this] {
@@ -212,7 +222,7 @@
     {
         this->configFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock),
             this->platform.store, this->platform.formats.operatorTable, std::vector<std::string> { "" }, 0,
-            this->followerHooks(
+            this->followerHooks(this->configMoment,
                 [this](std::span<const StoredRow> rows, bool isFullRead) { this->onOperatorRows(rows, isFullRead); }));
         this->configFollower->start();
     }
@@ -304,7 +314,7 @@
     {
         this->leadershipFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock),
             this->platform.store, Leadership::table, std::vector<std::string> { Leadership::part }, 0,
-            this->followerHooks([this](std::span<const StoredRow> rows, bool) {
+            this->followerHooks(this->leadershipMoment, [this](std::span<const StoredRow> rows, bool) {
                 this->leadership.observe(rows);
                 this->startSession();
             }));
@@ -394,10 +404,29 @@
         if (now - this->housekeepingAt >= std::chrono::seconds(1)) {
             this->housekeepingAt = now;
             this->httpClient.closeIdleConnections();
+            this->reportTableAges();
             this->log.reportDroppedLines();
         }
     }
 
+    void reportTableAges()
+    {
+        const auto report = [this](std::string_view table, std::string_view gauge, std::optional<Duration> age) {
+            if (!age)
+                return;
+            this->metrics.setGauge(
+                gauge, "Age of this VM's copy of a table, in milliseconds.", static_cast<double>(age->count()));
+            if (*age > maxUsualTableAge)
+                this->log.info("copy of a table is old", { { "table", table }, { "age_ms", age->count() } });
+        };
+        const auto age = [this](const TableMoment& moment) { return this->clock.now() - moment.requestedAt; };
+        if (this->config)
+            report("configuration", "configuration_age_ms", age(this->configMoment));
+        report("lead", "leadership_age_ms", age(this->leadershipMoment));
+        report("job", "job_table_age_ms", this->session ? this->session->jobTableAge() : std::nullopt);
+        report("server", "server_table_age_ms", this->session ? this->session->serverTableAge() : std::nullopt);
+    }
+
     const FleetNodeSettings settings;
     const Clock clock;
     Log log;
@@ -421,6 +450,8 @@
     std::shared_ptr<const FleetConfig> config;
     std::map<int, MachineWave> waves;
     std::set<std::string, std::less<>> evacuatedDataCentres;
+    TableMoment configMoment;
+    TableMoment leadershipMoment;
     TimePoint storeAnsweredAt;
     TimePoint storeFailedAt;
     TimePoint housekeepingAt;
--- a/src/io/process/job-gateway.cpp
+++ b/src/io/process/job-gateway.cpp
@@ -3,7 +3,6 @@
 
 #include "io/process/tables.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -25,6 +24,12 @@
     // A store that fails or refuses calls recovers within seconds, and the balancer takes about as long to redirect
     // callers.
     constexpr std::string_view retryAfterSeconds = "1";
+    // The next leader has loaded all rows after about this time.
+    constexpr std::string_view leaderChangeSeconds = "2";
+    // The leader writes the pending jobs more often than they become too old, so a summary that is only a little too
+    // old is about to be written again. An older one has no leader that writes it.
+    constexpr Duration maxRefreshedSummaryAge = maxPendingCountAge * 3 / 2;
+    constexpr Duration summaryRefreshDelay { 250 };
     constexpr std::size_t maxJobIdLength = 64;
 
     bool isValidJobId(std::string_view id)
@@ -38,6 +43,14 @@
     // Returns the smallest key after `key`, the exclusive end of a range that contains only `key`.
     std::string keyAfter(std::string_view key) { return std::string(key) + '\0'; }
 
+    // Returns nothing for a progress row of another form.
+    std::optional<JobStatus> decodeStoredState(std::string_view progress)
+    {
+        const auto json = Json::parse(progress, nullptr, false);
+        const auto state = json.is_object() ? json.find("state") : json.end();
+        return state != json.end() && state->is_string() ? parseJobStatus(state->get<std::string>()) : std::nullopt;
+    }
+
     std::string hostWithoutPort(std::string_view host) { return std::string(host.substr(0, host.find(':'))); }
 
 } // namespace
@@ -55,12 +68,14 @@
     // A write without an answer may still be carried out, so the job can no longer be rejected.
     bool mayBeStored = false;
     int retryCount = 0;
+    std::string_view retryAfter = retryAfterSeconds;
+    std::string_view source = "store"; // what the answer is based on
+    std::optional<Duration> age; // upper bound of the age of the source; nothing: read for this answer, or unknown
 };
 
-JobGateway::JobGateway(boost::asio::io_context& io, const FleetPlatform& fleetPlatform, Clock source,
-    Metrics& processMetrics, JobGatewayHooks gatewayHooks)
-    : context(io)
-    , platform(fleetPlatform)
+JobGateway::JobGateway(
+    const FleetPlatform& fleetPlatform, Clock source, Metrics& processMetrics, JobGatewayHooks gatewayHooks)
+    : platform(fleetPlatform)
     , clock(std::move(source))
     , metrics(processMetrics)
     , hooks(std::move(gatewayHooks))
@@ -156,12 +171,11 @@
 {
     if (this->timeLeft(*exchange) < initialRetryDelay)
         return this->answer(exchange, 504, "", "the store did not answer a write; the job may be stored");
-    const auto deadline = std::min(attemptTimeout, this->timeLeft(*exchange));
-    this->platform.store.list(tables::jobRow(exchange->job), keyAfter(exchange->job), deadline,
-        [this, exchange](const std::optional<RowPage>& page) {
-            if (page && !page->rows.empty())
+    this->read(exchange, tables::jobRow(exchange->job), keyAfter(exchange->job), &JobGateway::readJobBack,
+        [this, exchange](const RowPage& page) {
+            if (!page.rows.empty())
                 return this->answer(exchange, 200, "", "stored; the first answer was lost");
-            this->retryLater(exchange, page ? &JobGateway::commitJob : &JobGateway::readJobBack);
+            this->retryLater(exchange, &JobGateway::commitJob);
         });
 }
 
@@ -170,19 +184,15 @@
     if (this->timeLeft(*exchange) < Duration(1))
         return this->answer(exchange, 503, "", "the store does not answer");
     const RowName name { tables::progress, Leadership::part, exchange->job };
-    this->platform.store.list(name, keyAfter(exchange->job), std::min(attemptTimeout, this->timeLeft(*exchange)),
-        [this, exchange](const std::optional<RowPage>& page) {
-            if (!page)
-                return this->retryLater(exchange, &JobGateway::sendStatus);
-            if (page->rows.empty())
-                return this->sendUnrecordedStatus(exchange);
-            const auto json = Json::parse(page->rows.front().value, nullptr, false);
-            const auto state = json.is_object() ? parseJobStatus(json.value("state", "")) : std::nullopt;
-            if (!state)
-                return this->answer(exchange, 500, "", "the progress row cannot be read");
-            // A progress row proves that the job exists. A stored cancellation shows once the leader has processed it.
-            this->answer(exchange, 200, this->platform.formats.encodeJobState(*state), jobStatusName(*state));
-        });
+    this->read(exchange, name, keyAfter(exchange->job), &JobGateway::sendStatus, [this, exchange](const RowPage& page) {
+        if (page.rows.empty())
+            return this->sendUnrecordedStatus(exchange);
+        const auto state = decodeStoredState(page.rows.front().value);
+        if (!state)
+            return this->answer(exchange, 503, "", "the progress row cannot be read");
+        // A progress row proves that the job exists. A stored cancellation shows once the leader has processed it.
+        this->answer(exchange, 200, this->platform.formats.encodeJobState(*state), jobStatusName(*state));
+    });
 }
 
 // Answers for a job without a progress row: it is unknown, cancelled, or pending.
@@ -190,15 +200,13 @@
 {
     if (this->timeLeft(*exchange) < Duration(1))
         return this->answer(exchange, 503, "", "the store does not answer");
-    this->platform.store.list(tables::jobRow(exchange->job), keyAfter(tables::cancelRow(exchange->job).key),
-        std::min(attemptTimeout, this->timeLeft(*exchange)), [this, exchange](const std::optional<RowPage>& page) {
-            if (!page)
-                return this->retryLater(exchange, &JobGateway::sendUnrecordedStatus);
-            if (page->rows.empty() || page->rows.front().name.key != exchange->job)
+    this->read(exchange, tables::jobRow(exchange->job), keyAfter(tables::cancelRow(exchange->job).key),
+        &JobGateway::sendUnrecordedStatus, [this, exchange](const RowPage& page) {
+            if (page.rows.empty() || page.rows.front().name.key != exchange->job)
                 return this->answer(exchange, 410, "", "no such job");
             const auto cancelKey = tables::cancelRow(exchange->job).key;
             const bool cancelled = std::ranges::any_of(
-                page->rows, [&cancelKey](const StoredRow& row) { return row.name.key == cancelKey; });
+                page.rows, [&cancelKey](const StoredRow& row) { return row.name.key == cancelKey; });
             const auto state = cancelled ? JobStatus::Cancelled : JobStatus::Running;
             this->answer(exchange, 200, this->platform.formats.encodeJobState(state), jobStatusName(state));
         });
@@ -208,13 +216,11 @@
 {
     if (this->timeLeft(*exchange) < Duration(1))
         return this->answer(exchange, 504, "", "the store does not answer; the job may be cancelled");
-    this->platform.store.list(tables::jobRow(exchange->job), keyAfter(exchange->job),
-        std::min(attemptTimeout, this->timeLeft(*exchange)), [this, exchange](const std::optional<RowPage>& page) {
-            if (!page)
-                return this->retryLater(exchange, &JobGateway::cancel);
-            if (page->rows.empty())
+    this->read(exchange, tables::jobRow(exchange->job), keyAfter(exchange->job), &JobGateway::cancel,
+        [this, exchange](const RowPage& page) {
+            if (page.rows.empty())
                 return this->answer(exchange, 410, "", "no such job");
-            this->commitCancellation(exchange, page->rows.front().version);
+            this->commitCancellation(exchange, page.rows.front().version);
         });
 }
 
@@ -235,37 +241,61 @@
 
 void JobGateway::sendPendingCount(const ExchangePtr& exchange)
 {
-    const auto sendCount = [this, exchange](const std::map<std::string, int>& pending) {
-        const auto count = pending.find(exchange->queue->name);
-        this->answer(exchange, 200,
-            this->platform.formats.encodeWaitingCount(count == pending.end() ? 0 : count->second), "counted");
-    };
-    if (const auto pending = this->hooks.pendingJobs())
-        return sendCount(*pending);
+    if (const auto counts = this->hooks.pendingJobs())
+        return this->answerPendingCount(exchange, *counts, "memory of the leader");
     if (this->timeLeft(*exchange) < Duration(1))
         return this->answer(exchange, 503, "", "the store does not answer");
     const RowName name { tables::summary, Leadership::part, tables::summaryKey };
-    this->platform.store.list(name, keyAfter(name.key), std::min(attemptTimeout, this->timeLeft(*exchange)),
-        [this, exchange, sendCount](const std::optional<RowPage>& page) {
-            if (!page)
-                return this->retryLater(exchange, &JobGateway::sendPendingCount);
-            const auto json
-                = page->rows.empty() ? Json::object() : Json::parse(page->rows.front().value, nullptr, false);
-            if (!json.is_object())
-                return this->answer(exchange, 500, "", "the summary row cannot be read");
-            sendCount(json.get<std::map<std::string, int>>());
+    this->read(exchange, name, keyAfter(name.key), &JobGateway::sendPendingCount,
+        [this, exchange, requestedAt = this->clock.now()](
+            const RowPage& page) { this->sendStoredPendingCount(exchange, page, requestedAt); });
+}
+
+void JobGateway::sendStoredPendingCount(const ExchangePtr& exchange, const RowPage& page, TimePoint requestedAt)
+{
+    exchange->source = "stored summary";
+    const auto summary = page.rows.empty() ? std::nullopt : decodePendingSummary(page.rows.front().value);
+    exchange->age = summary ? ageAt(*summary, page.time) : std::nullopt;
+    if (exchange->age)
+        *exchange->age += this->clock.now() - requestedAt;
+    if (exchange->age && *exchange->age <= maxPendingCountAge)
+        return this->answerPendingCount(exchange, { summary->jobsByQueue, *exchange->age }, exchange->source);
+    const bool isAboutToBeWritten = exchange->age && *exchange->age <= maxRefreshedSummaryAge;
+    if (isAboutToBeWritten && this->timeLeft(*exchange) > summaryRefreshDelay * 2)
+        return this->hooks.runLater(summaryRefreshDelay, [this, exchange] { this->sendPendingCount(exchange); });
+    exchange->retryAfter = leaderChangeSeconds;
+    this->answer(exchange, 503, "",
+        exchange->age ? "the stored number of pending jobs is too old"
+                      : "the age of the stored number of pending jobs is unknown");
+}
+
+void JobGateway::answerPendingCount(const ExchangePtr& exchange, const PendingCounts& counts, std::string_view source)
+{
+    exchange->source = source;
+    exchange->age = counts.age;
+    const auto count = counts.jobsByQueue.find(exchange->queue->name);
+    this->answer(exchange, 200,
+        this->platform.formats.encodeWaitingCount(count == counts.jobsByQueue.end() ? 0 : count->second), "counted");
+}
+
+void JobGateway::read(const ExchangePtr& exchange, const RowName& from, std::string end,
+    void (JobGateway::*step)(const ExchangePtr&), std::function<void(const RowPage&)> use)
+{
+    this->platform.store.list(from, std::move(end), std::min(attemptTimeout, this->timeLeft(*exchange)),
+        [this, exchange, step, known = this->hooks.knownStoreVersion(), use = std::move(use)](
+            const std::optional<RowPage>& page) {
+            if (page && page->version >= known)
+                use(*page);
+            else
+                this->retryLater(exchange, step);
         });
 }
 
 void JobGateway::retryLater(const ExchangePtr& exchange, void (JobGateway::*step)(const ExchangePtr&))
 {
     const auto delay = initialRetryDelay * (1 << std::min(exchange->retryCount++, maxDelayDoublings));
-    auto timer = std::make_shared<boost::asio::steady_timer>(
-        this->context, std::min(delay, std::max(this->timeLeft(*exchange), Duration(1))));
-    timer->async_wait([this, exchange, step, timer](const boost::system::error_code& error) {
-        if (!error)
-            (this->*step)(exchange);
-    });
+    this->hooks.runLater(std::min(delay, std::max(this->timeLeft(*exchange), Duration(1))),
+        [this, exchange, step] { (this->*step)(exchange); });
 }
 
 void JobGateway::answer(const ExchangePtr& exchange, int status, std::string body, std::string_view reason)
@@ -274,7 +304,7 @@
     if (!response.body.empty())
         response.headers.emplace_back("Content-Type", "application/json");
     if (status == 503)
-        response.headers.emplace_back("Retry-After", std::string(retryAfterSeconds));
+        response.headers.emplace_back("Retry-After", std::string(exchange->retryAfter));
     const auto elapsed = this->clock.now() - exchange->startedAt;
     this->metrics.counter("answers", "Answers to callers.").add();
     if (status >= 400)
@@ -284,7 +314,8 @@
         { { "method", exchange->request.method }, { "job", exchange->job },
             { "queue", exchange->queue ? std::string_view(exchange->queue->name) : std::string_view() },
             { "status", status }, { "reason", reason }, { "ms", elapsed.count() },
-            { "config", exchange->config ? exchange->config->version : 0 } });
+            { "config", exchange->config ? exchange->config->version : 0 }, { "source", exchange->source },
+            { "age_ms", exchange->age ? std::to_string(exchange->age->count()) : "" } });
     exchange->respond(std::move(response));
 }
 
--- a/src/io/process/leader-session-storage.cpp
+++ b/src/io/process/leader-session-storage.cpp
@@ -18,20 +18,38 @@
     // job must fit.
     constexpr std::size_t minTransactionEntries = 4;
     constexpr std::size_t maxRemovalsPerTick = 1; // jobs; as many expire as are accepted, a few dozen a second
-    // Counts that callers see may be up to 2 s old.
+    // Counts that callers see may be up to 2 s old, and the jobs are known as of up to 0.5 s before they are written.
     constexpr Duration minSummaryInterval { 700 };
 
 } // namespace
 
+std::optional<Duration> LeaderSession::ageOf(const std::optional<TableMoment>& moment) const
+{
+    if (!this->hasLoaded || !moment)
+        return std::nullopt;
+    return this->clock.now() - moment->requestedAt;
+}
+
+std::optional<PendingCounts> LeaderSession::pendingCounts() const
+{
+    const auto age = this->jobTableAge();
+    if (!age || *age > maxPendingCountAge || !this->leadership.isValid())
+        return std::nullopt;
+    return PendingCounts { this->jobScheduler.pendingJobsByQueue(), *age };
+}
+
+// Unchanged counts are written again, with a transaction that is due anyway, because VMs tell callers no old ones.
 void LeaderSession::addSummary(BoundedTransaction& transaction)
 {
-    if (this->clock.now() - this->summaryWrittenAt < minSummaryInterval)
+    if (this->clock.now() - this->summaryWrittenAt < minSummaryInterval || !this->jobsMoment
+        || !this->jobsMoment->storeTime)
         return;
     auto waiting = this->jobScheduler.pendingJobsByQueue();
-    if (waiting == this->storedSummary)
+    if (waiting == this->storedSummary && !transaction.changesRows())
         return;
     const RowName name { tables::summary, Leadership::part, tables::summaryKey };
-    if (!transaction.tryAdd({ {}, { { name, Json(waiting).dump() } }, {} }))
+    const PendingSummary summary { waiting, *this->jobsMoment->storeTime, this->leadership.fence() };
+    if (!transaction.tryAdd({ {}, { { name, encodePendingSummary(summary) } }, {} }))
         return;
     this->summaryWrittenAt = this->clock.now();
     this->storedSummary = std::move(waiting);
@@ -119,7 +137,7 @@
     this->hooks.log("progress was not stored",
         { { "status", static_cast<int>(result.status) }, { "jobs", batch.progress.size() },
             { "age_ms", (this->clock.now() - sentAt).count() } });
-    this->storedSummary.clear();
+    this->summaryWrittenAt = {};
     if (result.status == CommitStatus::Conflict) {
         const auto condition = this->leadership.leaderCondition();
         std::map<std::string, std::uint64_t> versions;
--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -210,8 +210,12 @@
 void LeaderSession::start()
 {
     this->startedAt = this->clock.now();
-    const auto follower = [this](auto apply) {
+    const auto follower = [this](auto apply, std::optional<TableMoment>* moment = nullptr) {
         FollowerHooks follow;
+        follow.onCurrent = this->guarded([moment](const TableMoment& latest) {
+            if (moment)
+                *moment = latest;
+        });
         follow.onFullRead = this->guarded([apply](std::span<const StoredRow> rows) { apply(rows, true); });
         follow.onChanges = this->guarded([apply](std::span<const StoredRow> rows) { apply(rows, false); });
         follow.onAnswer = follow.onNoAnswer = [] { /* the followers of FleetNode monitor the store */ };
@@ -222,10 +226,10 @@
     const auto minVersion = this->leadership.leaderCondition().version;
     this->serverFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock),
         this->platform.store, this->platform.formats.serverTable, std::vector<std::string> { "" }, minVersion,
-        follower([this](auto rows, bool isFullRead) { this->onServers(rows, isFullRead); }));
+        follower([this](auto rows, bool isFullRead) { this->onServers(rows, isFullRead); }, &this->serversMoment));
     this->jobFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock), this->platform.store,
         tables::jobs, tables::allJobParts(), minVersion,
-        follower([this](auto rows, bool isFullRead) { this->onJobs(rows, isFullRead); }));
+        follower([this](auto rows, bool isFullRead) { this->onJobs(rows, isFullRead); }, &this->jobsMoment));
     this->entryVmFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock),
         this->platform.store, tables::entryVms, std::vector<std::string> { tables::entryVmPart }, 0,
         follower([this](auto rows, bool isFullRead) { this->onEntryVms(rows, isFullRead); }));
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -9,6 +9,7 @@
 #include "job/bounded-transaction.h"
 #include "job/leadership.h"
 #include "job/machine-maintenance.h"
+#include "job/pending-summary.h"
 #include "job/pool-mover.h"
 #include "job/scheduler.h"
 
@@ -52,7 +53,11 @@
     void releaseLeadership();
 
     JobScheduler& scheduler() { return this->jobScheduler; }
-    bool isLoaded() const { return this->hasLoaded; }
+    // The counts of this leader while it leads and knows all jobs of a recent moment.
+    std::optional<PendingCounts> pendingCounts() const;
+    // Upper bounds of the age of this leader's copies of the tables; nothing before they have been read and applied.
+    std::optional<Duration> jobTableAge() const { return this->ageOf(this->jobsMoment); }
+    std::optional<Duration> serverTableAge() const { return this->ageOf(this->serversMoment); }
     // Sends the orders and stores the records of changed jobs after a short delay, together with those of other events.
     void scheduleDispatch();
 
@@ -98,6 +103,7 @@
     void handleRejectedCommit();
     void removeExpiredJobs();
     void addSummary(BoundedTransaction& transaction);
+    std::optional<Duration> ageOf(const std::optional<TableMoment>& moment) const;
     void onCommit(const TransactionResult& result, TimePoint sentAt, const Batch& batch);
     void end(std::string_view reason);
     template <typename Handler> auto guarded(Handler handler);
@@ -150,8 +156,11 @@
     bool isCommitting = false;
     bool isDispatchScheduled = false;
     bool hasEnded = false;
+    // Moments as of which the jobs and servers are known; the rows of jobs are applied once all tables are loaded.
+    std::optional<TableMoment> jobsMoment;
+    std::optional<TableMoment> serversMoment;
     std::map<std::string, int> storedSummary; // pending jobs by queue
-    TimePoint summaryWrittenAt;
+    TimePoint summaryWrittenAt; // TimePoint {}: the latest one failed
     TimePoint nextCommitAt; // earliest start of the next commit
 };
 
--- a/src/io/process/table-follower.cpp
+++ b/src/io/process/table-follower.cpp
@@ -99,6 +99,8 @@
             = this->pageBudget->nextPage(this->cost.rows == 0 ? assumedRowBytes : this->cost.bytes / this->cost.rows);
         // The smallest key after the last one that was read.
         const auto key = this->lastKey.empty() ? std::string() : this->lastKey + '\0';
+        if (this->firstPageVersion == 0)
+            this->firstPageMoment = { this->time.clock.now(), std::nullopt, 0 };
         this->store.list({ this->table, this->parts[this->partIndex], key }, "", { page.timeout, page.rows },
             [weak = this->weak_from_this(), budget = this->pageBudget, requested = page, now = this->time.clock.now,
                 requestedAt = this->time.clock.now()](std::optional<RowPage> answer) {
@@ -140,8 +142,11 @@
                 { { "table", this->table }, { "version", page.version }, { "known", knownVersion } });
             return this->retryLater(&State::requestPage);
         }
-        if (this->firstPageVersion == 0)
+        if (this->firstPageVersion == 0) {
             this->firstPageVersion = page.version;
+            this->firstPageMoment.storeTime = page.time;
+            this->firstPageMoment.version = page.version;
+        }
         ++this->cost.pages;
         this->cost.rows += page.rows.size();
         this->cost.bytes += pageSize(page);
@@ -155,19 +160,20 @@
         const auto self = this->shared_from_this();
         this->logRead();
         this->hooks.onFullRead(allRows);
+        this->recordMoment(this->firstPageMoment);
         this->follow();
     }
 
     void follow()
     {
-        this->store.follow(
-            this->table, this->lastVersion, maxFollowWait, [weak = this->weak_from_this()](FollowResult result) {
+        this->store.follow(this->table, this->lastVersion, maxFollowWait,
+            [weak = this->weak_from_this(), requestedAt = this->time.clock.now()](const FollowResult& result) {
                 if (const auto self = weak.lock())
-                    self->onChanges(result);
+                    self->onChanges(result, requestedAt);
             });
     }
 
-    void onChanges(const FollowResult& result)
+    void onChanges(const FollowResult& result, TimePoint requestedAt)
     {
         if (result.status == FollowStatus::NoAnswer) {
             this->recordNoAnswer();
@@ -179,12 +185,21 @@
                 "history of the store is gone", { { "table", this->table }, { "known", this->lastVersion } });
             return this->readTable();
         }
+        const bool isStale = result.version < this->lastVersion;
         this->lastVersion = std::max(this->lastVersion, result.version);
         if (!result.rows.empty())
             this->hooks.onChanges(result.rows);
+        if (!result.mayHaveMore && !isStale)
+            this->recordMoment({ requestedAt, result.time, result.version });
         this->follow();
     }
 
+    void recordMoment(const TableMoment& moment)
+    {
+        if (this->hooks.onCurrent)
+            this->hooks.onCurrent(moment);
+    }
+
     void logRead()
     {
         this->hooks.log("table is read",
@@ -219,6 +234,7 @@
     std::size_t partIndex = 0; // index of the part that is being read
     std::string lastKey; // last key read from this part; empty: none
     std::uint64_t firstPageVersion = 0;
+    TableMoment firstPageMoment;
     ReadCost cost;
     bool isUnavailable = false;
 };
--- a/src/io/process/table-follower.h
+++ b/src/io/process/table-follower.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -32,6 +33,14 @@
 // Timers of the event loop, which must outlive the followers.
 FollowerTime followerTime(boost::asio::io_context& context, Clock clock);
 
+// The moment as of which a reader knows all rows of a table.
+struct TableMoment {
+    // When the call was sent whose answer proved it; the moment itself is not earlier.
+    TimePoint requestedAt;
+    std::optional<StoreTime> storeTime; // nothing if the answer carried no time
+    std::uint64_t version = 0; // that the store had reached
+};
+
 struct FollowerHooks {
     // All rows of the table; earlier rows that are not among them were removed.
     std::function<void(std::span<const StoredRow>)> onFullRead;
@@ -43,6 +52,8 @@
     LogHook log;
     // Shared by followers that read over one link at the same time; nullptr: the follower has one of its own.
     std::shared_ptr<PageBudget> pageBudget;
+    // The rows passed on so far are all rows as of this moment; may be empty.
+    std::function<void(const TableMoment&)> onCurrent {};
 };
 
 class TableFollower {
--- a/src/io/process/tables.h
+++ b/src/io/process/tables.h
@@ -25,9 +25,9 @@
 // Entry VMs, each written by its own process after its start.
 inline constexpr const char* entryVms = "vm";
 inline constexpr const char* entryVmPart = "";
-// Number of pending jobs by queue, in a single row.
+// Number of pending jobs by queue, in a single row (`job/pending-summary.h`).
 inline constexpr const char* summary = "summary";
-inline constexpr const char* summaryKey = "waiting";
+inline constexpr const char* summaryKey = "pending";
 // A cancellation has the key of its job with this suffix, so that both are read in one range.
 inline constexpr std::string_view cancelSuffix = "/cancel";
 // A slow store takes up to 0.4 s for a transaction; eight parts then still accept 20 jobs a second.
--- /dev/null
+++ b/test/io/leader-session-test.cpp
@@ -0,0 +1,235 @@
+// What a leader tells and stores about pending jobs, and until when, over a simulated store.
+#include "io/process/leader-session.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+namespace waxwinglug::io {
+namespace {
+
+    constexpr std::chrono::seconds testTimeout { 20 };
+
+    // A leader without backend servers. Its timers run in real time; `skipped` is added to its clock.
+    struct LeaderSessionTest : testing::Test {
+        boost::asio::io_context context;
+        Duration skipped { 0 };
+        Clock clock { [this] { return systemClock().now() + this->skipped; }, systemClock().wallNow };
+        AsyncHttpClient client { context, clock };
+        Random random { 1 };
+        std::map<RowName, StoredRow> rows;
+        std::uint64_t version = 1;
+        std::vector<RowTransaction> transactions;
+        std::string silentTable; // follow calls and lists of this table get no answer
+        bool changesMayBeCut = false;
+        FleetPlatform platform;
+        std::unique_ptr<Leadership> leadership;
+        std::shared_ptr<LeaderSession> session;
+
+        void SetUp() override
+        {
+            this->platform.formats.serverTable = "servers";
+            this->platform.store.commit = [this](const RowTransaction& transaction, Duration, auto handler) {
+                this->transactions.push_back(transaction);
+                boost::asio::post(this->context, [handler, result = this->apply(transaction)] { handler(result); });
+            };
+            this->platform.store.list = [this](const RowName& from, const std::string&, PageLimits, auto handler) {
+                if (from.table != this->silentTable)
+                    boost::asio::post(this->context, [handler, page = this->page(from)] { handler(page); });
+            };
+            this->platform.store.follow
+                = [this](const std::string& table, std::uint64_t after, Duration, auto handler) {
+                      if (table != this->silentTable)
+                          this->answerFollow(table, after, handler);
+                  };
+            this->platform.machines.list = [](const auto&) { /* no answer */ };
+            this->leadership
+                = std::make_unique<Leadership>(LeadershipTimings {}, this->clock, "leader", 500, this->random);
+            this->leadership->becomeCandidate();
+            this->leadership->acquireAnswered(this->apply(this->leadership->acquire()));
+            LeaderSessionHooks hooks;
+            hooks.onEnded = [] {};
+            hooks.log = [](std::string_view, std::initializer_list<LogField>) { /* not examined */ };
+            JobSchedulerRules rules;
+            rules.fence = this->leadership->fence();
+            auto config = std::make_shared<FleetConfig>();
+            config->queues.emplace_back();
+            config->queues.back().name = "quotes";
+            config->queues.back().service = "quoting";
+            this->session = std::make_shared<LeaderSession>(this->context, this->client, this->platform,
+                RelaySelection({}, "leader", 500), *this->leadership, rules, MachineMaintenanceRules {}, this->clock,
+                std::move(config), std::move(hooks));
+        }
+
+        StoreTime storeTime() const { return this->clock.now().time_since_epoch().count(); }
+
+        TransactionResult apply(const RowTransaction& transaction)
+        {
+            TransactionResult conflict { CommitStatus::Conflict, 0, {} };
+            for (const auto& condition : transaction.conditions) {
+                const auto row = this->rows.find(condition.name);
+                const auto current = row == this->rows.end() ? StoredRow { condition.name, "", 0 } : row->second;
+                if (current.version != condition.version)
+                    conflict.conflicts.push_back(current);
+            }
+            if (!conflict.conflicts.empty())
+                return conflict;
+            ++this->version;
+            for (const auto& write : transaction.writes)
+                this->rows[write.name] = { write.name, write.value, this->version };
+            return { CommitStatus::Committed, this->version, {} };
+        }
+
+        RowPage page(const RowName& from) const
+        {
+            RowPage page { {}, false, this->version, this->storeTime() };
+            for (const auto& [name, row] : this->rows) {
+                if (name.table == from.table && name.part == from.part && name.key >= from.key)
+                    page.rows.push_back(row);
+            }
+            return page;
+        }
+
+        void answerFollow(
+            const std::string& table, std::uint64_t after, const std::function<void(FollowResult)>& handler)
+        {
+            auto timer = std::make_shared<boost::asio::steady_timer>(this->context, Duration(20));
+            timer->async_wait([this, timer, table, after, handler](const boost::system::error_code&) {
+                FollowResult result { FollowStatus::Changes, {}, this->version, this->storeTime(),
+                    this->changesMayBeCut };
+                for (const auto& [name, row] : this->rows) {
+                    if (name.table == table && row.version > after)
+                        result.rows.push_back(row);
+                }
+                handler(result);
+            });
+        }
+
+        void submit(const std::string& id)
+        {
+            JobSpec job;
+            job.id = id;
+            job.queue = "quotes";
+            job.steps.emplace_back();
+            job.steps.back().count = 1;
+            RowTransaction transaction;
+            transaction.writes.push_back({ tables::jobRow(id), toJson(job) });
+            this->apply(transaction);
+        }
+
+        bool runUntil(const std::function<bool()>& isDone)
+        {
+            const auto limit = std::chrono::steady_clock::now() + testTimeout;
+            while (!isDone() && std::chrono::steady_clock::now() < limit)
+                this->context.run_one_for(Duration(20));
+            return isDone();
+        }
+
+        // Lets time pass in steps in which the leader renews its term.
+        void skip(Duration total)
+        {
+            for (Duration step { 400 }; total > Duration(0); total -= step) {
+                this->skipped += step;
+                const auto count = this->transactions.size();
+                EXPECT_TRUE(this->runUntil([&] { return this->transactions.size() > count; }));
+                this->context.run_one_for(Duration(20));
+            }
+        }
+
+        std::vector<PendingSummary> storedSummaries() const
+        {
+            std::vector<PendingSummary> summaries;
+            for (const auto& transaction : this->transactions) {
+                for (const auto& write : transaction.writes) {
+                    if (write.name.table == tables::summary)
+                        summaries.push_back(decodePendingSummary(write.value).value());
+                }
+            }
+            return summaries;
+        }
+
+        std::optional<int> pendingQuotes() const
+        {
+            const auto counts = this->session->pendingCounts();
+            if (!counts)
+                return std::nullopt;
+            const auto count = counts->jobsByQueue.find("quotes");
+            return count == counts->jobsByQueue.end() ? 0 : count->second;
+        }
+    };
+
+} // namespace
+
+// Guards against counts that grow old while nothing changes, although the leader works.
+TEST_F(LeaderSessionTest, anUnchangedSummaryIsWrittenAgainWithALaterMoment)
+{
+    this->submit("a");
+    this->session->start();
+    ASSERT_TRUE(this->runUntil([this] { return this->storedSummaries().size() >= 3; }));
+    const auto summaries = this->storedSummaries();
+    EXPECT_EQ(summaries[0].jobsByQueue.at("quotes"), 1);
+    EXPECT_EQ(summaries[1].jobsByQueue, summaries[0].jobsByQueue);
+    EXPECT_LT(summaries[0].asOf, summaries[1].asOf);
+    EXPECT_LT(summaries[1].asOf, summaries[2].asOf);
+    // Only the first one may cost a transaction of its own.
+    EXPECT_LE(std::ranges::count_if(this->transactions,
+                  [](const RowTransaction& transaction) {
+                      return transaction.writes.size() == 1 && transaction.writes[0].name.table == tables::summary;
+                  }),
+        1);
+}
+
+// Guards against "0 jobs wait" of a leader that has not read the jobs.
+TEST_F(LeaderSessionTest, aLeaderThatHasNotLoadedTellsNoCount)
+{
+    this->submit("a");
+    this->silentTable = tables::progress;
+    this->session->start();
+    this->skip(Duration(2400));
+    EXPECT_FALSE(this->pendingQuotes());
+    EXPECT_TRUE(this->storedSummaries().empty());
+}
+
+// Guards against counts of a leader whose feed of jobs has stopped while its transactions succeed: it tells none
+// itself, and the summary that it stores keeps the moment at which its jobs were known.
+TEST_F(LeaderSessionTest, aLeaderThatIsBehindTellsNoCount)
+{
+    this->submit("a");
+    this->session->start();
+    ASSERT_TRUE(this->runUntil([this] { return this->pendingQuotes().has_value(); }));
+    EXPECT_EQ(this->pendingQuotes(), 1);
+    this->silentTable = tables::jobs;
+    this->runUntil([limit = std::chrono::steady_clock::now() + Duration(100)] {
+        return std::chrono::steady_clock::now() > limit;
+    });
+    const auto knownUntil = this->storeTime();
+    this->skip(Duration(3200));
+    EXPECT_TRUE(this->leadership->isValid());
+    EXPECT_FALSE(this->pendingQuotes());
+    EXPECT_LE(this->storedSummaries().back().asOf, knownUntil);
+}
+
+// Guards against a copy of the jobs that counts as current though an answer of the store may have left out changes.
+TEST_F(LeaderSessionTest, changesThatMayBeCutProveNoMoment)
+{
+    this->session->start();
+    ASSERT_TRUE(this->runUntil([this] { return this->pendingQuotes().has_value(); }));
+    this->changesMayBeCut = true;
+    this->skip(Duration(3200));
+    EXPECT_TRUE(this->leadership->isValid());
+    EXPECT_FALSE(this->pendingQuotes());
+}
+
+// Guards against counts that a leader tells right after it was suspended.
+TEST_F(LeaderSessionTest, aSuspendedLeaderTellsNoCount)
+{
+    this->session->start();
+    ASSERT_TRUE(this->runUntil([this] { return this->pendingQuotes().has_value(); }));
+    this->skipped += Duration(2100);
+    EXPECT_FALSE(this->pendingQuotes());
+}
+
+} // namespace waxwinglug::io
