Complete a wave only when each of its machines that stays was taken

A wave was reported as completed although a machine had had no maintenance: after one answer that the machine is not of the wave or does not exist, and when the operator wrote a wave again with more machines, which was ignored.

A disowned machine is done once a machine list read after that answer lacks it; until then the order is repeated every 5 s. A wave that is written again takes over added and removed machines and its limits.

--- a/src/job/machine-maintenance.cpp
+++ b/src/job/machine-maintenance.cpp
@@ -12,6 +12,9 @@
 
     // Delay before an order that was refused or not answered is sent again.
     constexpr Duration orderRetryDelay { 400 };
+    // The same after an answer that the machine does not exist or is not part of the wave, because each order begins
+    // with the eviction of the machine's tasks.
+    constexpr Duration disownedRetryDelay { 5000 };
     // Time between two reads of the machine list while a machine is ordered or down.
     constexpr Duration listInterval { 700 };
     // A server that still runs tasks after this time is taken down with them, unless they are long-running ones. Other
@@ -43,8 +46,8 @@
 
 void MachineMaintenance::addWave(const MachineWave& spec, const std::set<std::string>& done)
 {
-    if (this->waves.contains(spec.number))
-        return;
+    if (const auto known = this->waves.find(spec.number); known != this->waves.end())
+        return this->changeWave(known->second, spec);
     auto& wave = this->waves[spec.number];
     wave.spec = spec;
     wave.startedAt = this->clock.now();
@@ -59,6 +62,33 @@
     this->report(wave);
 }
 
+// The operator has written the wave again. It is not completed while a machine that was added has had no maintenance.
+void MachineMaintenance::changeWave(Wave& wave, const MachineWave& spec)
+{
+    wave.spec.timeLimit = spec.timeLimit;
+    wave.spec.maxMachinesDown = spec.maxMachinesDown;
+    if (wave.spec.machines == spec.machines)
+        return;
+    wave.spec.machines = spec.machines;
+    for (auto place = wave.machines.begin(); place != wave.machines.end();) {
+        auto& [name, machine] = *place;
+        // An order that was sent is followed to its end.
+        const bool isOrdered = machine.stage == Stage::Ordered || machine.stage == Stage::Down;
+        if (isOrdered || std::ranges::find(spec.machines, name) != spec.machines.end()) {
+            ++place;
+            continue;
+        }
+        this->setStage(name, machine, Stage::Done);
+        place = wave.machines.erase(place);
+    }
+    for (const auto& name : spec.machines) {
+        if (wave.machines.try_emplace(name).second)
+            this->scheduler.setMaintenancePending(name, true);
+    }
+    this->hooks.log("maintenance wave has changed", { { "wave", spec.number }, { "machines", wave.machines.size() } });
+    this->report(wave);
+}
+
 bool MachineMaintenance::isInMaintenance(const std::string& name) const
 {
     return std::ranges::any_of(this->waves, [&name](const auto& entry) {
@@ -107,8 +137,11 @@
         if (wave.completed)
             continue;
         this->advance(wave);
-        isWaiting
-            = isWaiting || countInStages(wave, { Stage::Ordered, Stage::Down }) > 0 || !this->machineList.isRead();
+        const bool isAnyDisowned = std::ranges::any_of(wave.machines, [](const auto& entry) {
+            return entry.second.stage != Stage::Done && entry.second.disownedAt != TimePoint {};
+        });
+        isWaiting = isWaiting || isAnyDisowned || countInStages(wave, { Stage::Ordered, Stage::Down }) > 0
+            || !this->machineList.isRead();
     }
     if (isWaiting && now - this->listRequestedAt >= listInterval) {
         this->listRequestedAt = now;
@@ -192,6 +225,12 @@
     const auto* server = this->scheduler.serverOnMachine(name);
     switch (machine.stage) {
     case Stage::Pending:
+        if (this->hasLeft(name, machine)) {
+            this->setStage(name, machine, Stage::Done);
+            this->hooks.log("machine of a wave has left", { { "machine", name }, { "wave", wave.spec.number } });
+            this->report(wave);
+        }
+        return;
     case Stage::Done:
         return;
     case Stage::Cordoned: {
@@ -232,6 +271,12 @@
     }
 }
 
+bool MachineMaintenance::hasLeft(const std::string& name, const Machine& machine) const
+{
+    return machine.disownedAt != TimePoint {} && this->machineList.readAt > machine.disownedAt
+        && !this->machineList.find(name);
+}
+
 void MachineMaintenance::sendOrder(Wave& wave, const std::string& name, Machine& machine)
 {
     const auto* server = this->scheduler.serverOnMachine(name);
@@ -276,8 +321,9 @@
     case MachineOrderStatus::NotInWave:
     case MachineOrderStatus::Invalid:
         this->hooks.log("machine is not part of the wave", { { "machine", name }, { "wave", number } });
-        this->setStage(name, machine, Stage::Done);
-        this->report(wave->second);
+        this->setStage(name, machine, Stage::Pending);
+        machine.disownedAt = now;
+        machine.nextOrderAt = now + disownedRetryDelay;
         return;
     case MachineOrderStatus::Unknown:
         machine.isUnconfirmed = true;
--- a/src/job/machine-maintenance.h
+++ b/src/job/machine-maintenance.h
@@ -42,7 +42,7 @@
     MachineMaintenance(JobScheduler& scheduler, const MachineList& list, MachineMaintenanceRules rules, Clock clock,
         MachineMaintenanceHooks hooks);
 
-    // `done` are machines whose maintenance ended under an earlier leader.
+    // `done` are machines whose maintenance ended under an earlier leader. A known wave takes over what has changed.
     void addWave(const MachineWave& wave, const std::set<std::string>& done);
     void orderAnswered(const std::string& machine, int wave, MachineOrderStatus status);
     void tick();
@@ -64,6 +64,9 @@
         TimePoint nextOrderAt; // no order before
         std::string previousServer; // id of the last server known on the machine before the maintenance; empty: none
         bool isUnconfirmed = false; // an order had no answer, so the platform may have carried it out
+        // When the platform answered that the machine does not exist or is not part of the wave. That does not show
+        // whether it stays; a later machine list does.
+        TimePoint disownedAt;
     };
     struct Wave {
         MachineWave spec;
@@ -77,7 +80,9 @@
         int unavailable = 0;
     };
 
+    void changeWave(Wave& wave, const MachineWave& spec);
     void advance(Wave& wave);
+    bool hasLeft(const std::string& name, const Machine& machine) const;
     void cordonMachines(Wave& wave);
     void advanceMachine(Wave& wave, const std::string& name, Machine& machine);
     void sendOrder(Wave& wave, const std::string& name, Machine& machine);
--- a/test/job/machine-maintenance-test.cpp
+++ b/test/job/machine-maintenance-test.cpp
@@ -201,4 +201,59 @@
     EXPECT_TRUE(this->maintenance->isInMaintenance("m2"));
 }
 
+// Guards against a wave that is reported as completed although a machine that stays has had no maintenance: the
+// platform said that it is not part of the wave, or does not exist, while the machine is listed.
+TEST_F(MachineMaintenanceTest, aMachineThatThePlatformDisownsKeepsTheWaveOpenWhileItIsListed)
+{
+    for (const auto status : { MachineOrderStatus::NotInWave, MachineOrderStatus::Invalid }) {
+        this->orders.clear();
+        this->startMaintenance(Duration(0));
+        this->addWave({ "m1", "m2" });
+        this->maintenance->tick();
+        this->answer({ "m3" }, status);
+        EXPECT_FALSE(this->completed);
+        EXPECT_FALSE(this->maintenance->isInMaintenance("m3"));
+        this->clock.advance(Duration(700));
+        this->setMachineStates(MachineState::Up);
+        this->maintenance->tick();
+        EXPECT_FALSE(this->completed);
+        EXPECT_EQ(this->orders.size(), 1U);
+        this->clock.advance(Duration(5000));
+        this->maintenance->tick();
+        EXPECT_EQ(this->orders.size(), 2U);
+    }
+}
+
+// Guards against a wave that never ends because one of its machines has left.
+TEST_F(MachineMaintenanceTest, aMachineThatHasLeftDoesNotKeepTheWaveOpen)
+{
+    this->setMachineStates(MachineState::Up);
+    this->addWave({ "m1", "m2" });
+    this->maintenance->tick();
+    this->answer({ "m3" }, MachineOrderStatus::Invalid);
+    this->clock.advance(Duration(700));
+    // The list was read before the answer.
+    this->maintenance->tick();
+    EXPECT_FALSE(this->completed);
+    const std::vector<MachineRecord> list { { "m1", "spare", MachineState::Up, "", {} } };
+    this->machines.replace(list, this->clock.now());
+    this->maintenance->tick();
+    EXPECT_TRUE(this->completed);
+}
+
+// Guards against a wave that is reported as completed although the operator has added a machine to it.
+TEST_F(MachineMaintenanceTest, aWaveThatGainsAMachineIsOpenAgain)
+{
+    this->addWave({ "m1", "m2", "m3" });
+    EXPECT_TRUE(this->completed);
+    this->maintenance->addWave({ 1, { "m2", "m3", "m4" }, std::chrono::seconds(20), 2 }, {});
+    EXPECT_FALSE(this->completed);
+    this->maintenance->tick();
+    EXPECT_EQ(this->orders, std::vector<std::string> { "m4" });
+    // The same wave again changes nothing.
+    const auto reports = this->reportCount;
+    this->maintenance->addWave({ 1, { "m2", "m3", "m4" }, std::chrono::seconds(20), 2 }, {});
+    EXPECT_EQ(this->reportCount, reports);
+}
+
 } // namespace waxwinglug
