--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -73,6 +73,7 @@
         bool completed = false;
         int reportedState = 0; // latest stored state; 0: none, 1: running, 2: completed
         bool isSending = false;
+        std::uint64_t storedVersion = 0; // of the row with the state; 0: none, or unknown
     };
 
     RelayedServersHooks relayHooks();
--- a/test/io/leader-session-test.cpp
+++ b/test/io/leader-session-test.cpp
@@ -232,4 +232,27 @@
     EXPECT_FALSE(this->pendingQuotes());
 }
 
+// Guards against a state of a wave that a late write of an earlier leader puts back.
+TEST_F(LeaderSessionTest, aReportOfAWaveReplacesOnlyTheStateItKnows)
+{
+    const RowName status { "status", "", "wave/1" };
+    this->platform.formats.encodeWaveStatus = [&status](const MachineWave&, bool completed) {
+        return RowValue { status, completed ? "completed" : "running" };
+    };
+    RowTransaction earlier;
+    earlier.writes.push_back({ status, "running" });
+    this->apply(earlier);
+    const auto earlierVersion = this->rows.at(status).version;
+    this->session->addWave({ 1, {}, std::chrono::seconds(20), 1 });
+    this->session->start();
+    ASSERT_TRUE(this->runUntil([&] { return this->rows.at(status).value == "completed"; }));
+    earlier.conditions.push_back({ status, earlierVersion });
+    EXPECT_EQ(this->apply(earlier).status, CommitStatus::Conflict);
+    for (const auto& transaction : this->transactions) {
+        if (transaction.writes[0].name == status) {
+            EXPECT_EQ(transaction.conditions.size(), 1U);
+        }
+    }
+}
+
 } // namespace waxwinglug::io
