--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -175,9 +175,8 @@
         }));
 }
 
-// The operator's rows are in another part than the leader's, so these writes cannot be conditional on leadership. A
-// completed wave stays completed, so a late write of an earlier leader does no harm once this leader has completed the
-// wave as well.
+// The operator's rows are in another part than the leader's, so these writes cannot be conditional on leadership. They
+// are conditional on the row's version, so that a write that is carried out late cannot replace a later state.
 void LeaderSession::sendWaveReports()
 {
     for (auto& [number, report] : this->waveReports) {
@@ -186,11 +185,16 @@
         report.isSending = true;
         RowTransaction transaction;
         transaction.writes.push_back(this->platform.formats.encodeWaveStatus(report.wave, report.completed));
+        transaction.conditions.push_back({ transaction.writes.back().name, report.storedVersion });
         this->platform.store.commit(std::move(transaction), commitTimeout,
             this->guarded([this, &report, completed = report.completed](const TransactionResult& result) {
                 report.isSending = false;
-                if (result.status == CommitStatus::Committed)
+                if (result.status == CommitStatus::Committed) {
                     report.reportedState = completed ? 2 : 1;
+                    report.storedVersion = result.version;
+                } else if (result.status == CommitStatus::Conflict) {
+                    report.storedVersion = result.conflicts.empty() ? 0 : result.conflicts.front().version;
+                }
             }));
     }
 }
@@ -220,8 +224,12 @@
 void LeaderSession::start()
 {
     this->startedAt = this->clock.now();
-    const auto follower = [this](auto apply) {
+    const auto follower = [this](auto apply, std::optional<TableMoment>* moment = nullptr) {
         FollowerHooks follow;
+        follow.onCurrent = this->guarded([moment](const TableMoment& latest) {
+            if (moment)
+                *moment = latest;
+        });
         follow.onFullRead = this->guarded([apply](std::span<const StoredRow> rows) { apply(rows, true); });
         follow.onChanges = this->guarded([apply](std::span<const StoredRow> rows) { apply(rows, false); });
         follow.onAnswer = follow.onNoAnswer = [] { /* the followers of FleetNode monitor the store */ };
@@ -232,10 +240,10 @@
     const auto minVersion = this->leadership.leaderCondition().version;
     this->serverFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock),
         this->platform.store, this->platform.formats.serverTable, std::vector<std::string> { "" }, minVersion,
-        follower([this](auto rows, bool isFullRead) { this->onServers(rows, isFullRead); }));
+        follower([this](auto rows, bool isFullRead) { this->onServers(rows, isFullRead); }, &this->serversMoment));
     this->jobFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock), this->platform.store,
         tables::jobs, tables::allJobParts(), minVersion,
-        follower([this](auto rows, bool isFullRead) { this->onJobs(rows, isFullRead); }));
+        follower([this](auto rows, bool isFullRead) { this->onJobs(rows, isFullRead); }, &this->jobsMoment));
     this->entryVmFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock),
         this->platform.store, tables::entryVms, std::vector<std::string> { tables::entryVmPart }, 0,
         follower([this](auto rows, bool isFullRead) { this->onEntryVms(rows, isFullRead); }));
