Replace the rows of ended jobs by short ones

When the final state of a job is stored, the leader replaces its row by one that holds only that state. The key stays, so a job submitted again finds it. Conditional on the version of the submission: late, repeated or foreign transactions change nothing. Failed and cancelled jobs keep their rows while a task of them may run. A new leader takes such a row for an ended job and replaces the rows of jobs that it finds ended. A row whose progress an earlier leader has removed is no longer run again.

--- a/src/io/process/job-gateway.cpp
+++ b/src/io/process/job-gateway.cpp
@@ -2,6 +2,7 @@
 #include "io/process/job-gateway.h"
 
 #include "io/process/tables.h"
+#include "job/ended-job.h"
 
 #include <fmt/format.h>
 
@@ -207,7 +208,8 @@
             const auto cancelKey = tables::cancelRow(exchange->job).key;
             const bool cancelled = std::ranges::any_of(
                 page.rows, [&cancelKey](const StoredRow& row) { return row.name.key == cancelKey; });
-            const auto state = cancelled ? JobStatus::Cancelled : JobStatus::Running;
+            const auto ended = decodeEndedJob(page.rows.front().value);
+            const auto state = ended.value_or(cancelled ? JobStatus::Cancelled : JobStatus::Running);
             this->answer(exchange, 200, this->platform.formats.encodeJobState(state), jobStatusName(state));
         });
 }
--- a/src/io/process/leader-session-storage.cpp
+++ b/src/io/process/leader-session-storage.cpp
@@ -111,6 +111,7 @@
 void LeaderSession::removeExpiredJobs()
 {
     for (const auto& job : this->jobScheduler.takeExpiredJobs(maxRemovalsPerTick)) {
+        this->jobCompaction.removeRow(job);
         RowTransaction rows;
         rows.removals = { tables::jobRow(job), tables::cancelRow(job) };
         RowTransaction record;
@@ -122,6 +123,23 @@
     }
 }
 
+void LeaderSession::compactEndedJobs()
+{
+    for (const auto& end : this->jobScheduler.takeStoredEnds())
+        this->jobCompaction.addEnd(end.job, end.finalState);
+    auto batch = this->jobCompaction.takeBatch();
+    if (!batch)
+        return;
+    auto transaction = std::move(batch->transaction);
+    this->platform.store.commit(std::move(transaction), commitTimeout,
+        this->guarded([this, batch = std::move(*batch)](const TransactionResult& result) {
+            this->hooks.log("rows of ended jobs are replaced",
+                { { "part", batch.part }, { "jobs", batch.entries.size() },
+                    { "status", static_cast<int>(result.status) }, { "pending", this->jobCompaction.pendingCount() } });
+            this->jobCompaction.batchAnswered(batch, result);
+        }));
+}
+
 void LeaderSession::onCommit(const TransactionResult& result, TimePoint sentAt, const Batch& batch)
 {
     this->isCommitting = false;
--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -1,6 +1,8 @@
 // Loads the rows of a new leader, sends orders and handles their answers.
 #include "io/process/leader-session.h"
 
+#include "job/ended-job.h"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -43,6 +45,7 @@
     , leadershipOffer(std::make_shared<LeadershipOffer>(client, source, rules.fence, this->offerHooks()))
     , servers(this->relayedServers->calls())
     , jobScheduler(rules, source, this->schedulerHooks())
+    , jobCompaction(source)
     , maintenanceGate(source)
     , moveGate(source)
     , machineMaintenance(this->jobScheduler, this->machineList, maintenanceRules, source, this->maintenanceHooks())
@@ -314,8 +317,10 @@
 void LeaderSession::onJobs(std::span<const StoredRow> rows, bool isFullRead)
 {
     for (const auto& row : rows) {
-        if (row.removed)
+        if (row.removed) {
+            this->jobCompaction.removeRow(row.name.key);
             continue;
+        }
         if (isCancellationKey(row.name.key)) {
             const auto job = row.name.key.substr(0, row.name.key.size() - tables::cancelSuffix.size());
             // The progress rows, which are not loaded yet, may show that the job has already ended.
@@ -366,8 +371,13 @@
 
 void LeaderSession::addJob(const StoredRow& row)
 {
-    this->readEach({ &row, 1 }, "job row cannot be read",
-        [this](const StoredRow& each) { this->jobScheduler.addJob(fromJson<JobSpec>(each.value), !this->hasLoaded); });
+    // The progress of an ended job was stored before, so it is known.
+    if (decodeEndedJob(row.value))
+        return;
+    this->readEach({ &row, 1 }, "job row cannot be read", [this](const StoredRow& each) {
+        this->jobScheduler.addJob(fromJson<JobSpec>(each.value), !this->hasLoaded);
+        this->jobCompaction.addRow(each.name.key, each.version);
+    });
 }
 
 // Adds the jobs that were stored before this term, with their progress.
@@ -375,10 +385,28 @@
 {
     std::vector<const StoredRow*> unfinished;
     this->readEach(this->inheritedProgress, "progress row cannot be read", [&](const StoredRow& row) {
-        if (detail::JobTable::isCompleted(row.value) && this->inheritedJobs.erase(row.name.key) > 0)
-            this->jobScheduler.addCompletedJob(row.name.key, row.version);
-        else
+        const auto job = this->inheritedJobs.find(row.name.key);
+        if (job == this->inheritedJobs.end())
+            return;
+        const auto finalState = decodeEndedJob(job->second.value);
+        if (finalState) {
+            this->jobScheduler.addEndedJob(row.name.key, *finalState, row.version);
+        } else if (detail::JobTable::isCompleted(row.value)) {
+            this->jobScheduler.addEndedJob(row.name.key, JobStatus::Completed, row.version);
+            this->jobCompaction.addRow(row.name.key, job->second.version);
+            this->jobCompaction.addEnd(row.name.key, JobStatus::Completed);
+        } else {
             unfinished.push_back(&row);
+            return;
+        }
+        this->inheritedJobs.erase(job);
+    });
+    // The progress of an ended job may have been removed by an earlier leader, whose removal of the job's row failed.
+    std::erase_if(this->inheritedJobs, [this](const auto& job) {
+        const auto finalState = decodeEndedJob(job.second.value);
+        if (finalState)
+            this->jobScheduler.addEndedJob(job.first, *finalState, 0);
+        return finalState.has_value();
     });
     for (const auto& [id, row] : this->inheritedJobs)
         this->addJob(row);
@@ -515,6 +543,7 @@
         this->storePoolSizes();
         this->sendWaveReports();
         this->removeExpiredJobs();
+        this->compactEndedJobs();
     }
     this->storeChanges();
 }
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -2,6 +2,7 @@
 // one term.
 #pragma once
 
+#include "io/process/job-compaction.h"
 #include "io/process/leadership-offer.h"
 #include "io/process/relayed-servers.h"
 #include "io/process/table-follower.h"
@@ -106,6 +107,7 @@
     void takeBatch(BoundedTransaction& transaction, Batch& batch);
     void handleRejectedCommit();
     void removeExpiredJobs();
+    void compactEndedJobs();
     void addSummary(BoundedTransaction& transaction);
     std::optional<Duration> ageOf(const std::optional<TableMoment>& moment) const;
     void onCommit(const TransactionResult& result, TimePoint sentAt, const Batch& batch);
@@ -121,6 +123,7 @@
     const std::shared_ptr<LeadershipOffer> leadershipOffer;
     const ServerCalls servers;
     JobScheduler jobScheduler;
+    JobCompaction jobCompaction;
     MachineList machineList;
     // Moves and maintenance have a gate each, so that neither keeps the other from ordering.
     OrderGate maintenanceGate;
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -133,17 +133,18 @@
         this->activeJobs[job->service].erase(job);
         job->endedAt = this->clock.now();
         this->endedJobs.push_back(job);
+        this->storedEnds.emplace_back(id);
     }
 }
 
-void JobScheduler::addCompletedJob(const std::string& id, std::uint64_t rowVersion)
+void JobScheduler::addEndedJob(const std::string& id, JobStatus finalState, std::uint64_t rowVersion)
 {
     JobSpec spec;
     spec.id = id;
     if (!this->jobTable.add(std::move(spec)))
         return;
     auto& job = *this->jobTable.find(id);
-    job.state = JobStatus::Completed;
+    job.state = finalState;
     job.rowVersion = rowVersion;
     job.endedAt = this->clock.now();
     this->endedJobs.push_back(&job);
@@ -188,8 +189,15 @@
 void JobScheduler::progressSaved(std::span<const ProgressWrite> batch, std::uint64_t rowVersion)
 {
     this->inFlightSequence = 0;
-    for (const auto& write : batch)
-        this->setProgressVersion(write.job, rowVersion);
+    for (const auto& write : batch) {
+        auto* job = this->jobTable.find(write.job);
+        if (!job)
+            continue;
+        job->rowVersion = rowVersion;
+        // A job that has changed again since the batch was taken is stored once more.
+        if (job->isOver() && job->changeSequence == 0)
+            this->storedEnds.push_back(write.job);
+    }
     this->acknowledgeStoredEnds();
 }
 
@@ -299,6 +307,24 @@
     }
 }
 
+std::vector<JobScheduler::StoredEnd> JobScheduler::takeStoredEnds()
+{
+    std::vector<StoredEnd> ends;
+    // Until then a task of a failed or cancelled job may run on a server of an earlier leader, and its team and size
+    // must be known.
+    const bool mayRunUnknown = this->clock.now() - this->termStartedAt <= this->rules.maxInheritedLease;
+    std::erase_if(this->storedEnds, [&](const std::string& id) {
+        const auto* job = this->jobTable.find(id);
+        if (!job)
+            return true;
+        if (hasRuns(*job) || (job->state != JobStatus::Completed && mayRunUnknown))
+            return false;
+        ends.push_back({ id, job->state });
+        return true;
+    });
+    return ends;
+}
+
 std::vector<std::string> JobScheduler::takeExpiredJobs(std::size_t maxCount)
 {
     std::vector<std::string> expired;
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -85,8 +85,8 @@
     // Load the contents of the store. `inherited` jobs were stored before this term and may be running on some server.
     void addJob(JobSpec spec, bool inherited);
     void loadProgress(std::string_view job, std::string_view text, std::uint64_t rowVersion);
-    // Adds a job whose stored progress shows that it is completed; its specification is not needed any more.
-    void addCompletedJob(const std::string& job, std::uint64_t rowVersion);
+    // Adds a job whose stored rows show that it has ended; its specification is not needed any more.
+    void addEndedJob(const std::string& job, JobStatus finalState, std::uint64_t rowVersion);
     void cancelJob(std::string_view job);
     void addServer(ServerRecord record);
     // Adds a server that an earlier leader used, whether it is still registered or not.
@@ -129,6 +129,13 @@
     void serverUseSaved(std::span<const ServerUseRecord> stored);
     void serverUseNotSaved(std::span<const ServerUseRecord> failed);
 
+    struct StoredEnd {
+        std::string job;
+        JobStatus finalState = JobStatus::Completed;
+    };
+    // Returns, once each, the jobs whose final state is stored and whose specification no later leader needs: none of
+    // their tasks runs, also not on a server that has not answered yet.
+    std::vector<StoredEnd> takeStoredEnds();
     // Removes jobs from memory whose retention time is over, and returns their ids so that their rows can be removed.
     std::vector<std::string> takeExpiredJobs(std::size_t maxCount);
     // Number of accepted jobs in each queue of which no task has started.
@@ -311,6 +318,8 @@
     // Sequence number of the oldest change in the batch that is being stored; 0: no batch is in flight.
     std::uint64_t inFlightSequence = 0;
     std::deque<detail::JobRecord*> endedJobs;
+    // Jobs whose final state is stored and was not returned yet. They may have been removed.
+    std::vector<std::string> storedEnds;
     // Work of recently arrived jobs, by service.
     struct Arrival {
         TimePoint at;
--- a/test/job/scheduler-test.cpp
+++ b/test/job/scheduler-test.cpp
@@ -144,6 +144,55 @@
     EXPECT_EQ(this->scheduler->jobStatus("j"), JobStatus::Completed);
 }
 
+// Guards against the row of a job that is replaced before its end is stored: a new leader would not run the job.
+TEST_F(SchedulerTest, endsAreReturnedOnceTheyAreStored)
+{
+    this->addServer("a");
+    this->scheduler->addJob(this->job("j", this->step(1)), false);
+    this->scheduler->tick();
+    this->confirmStarts();
+    this->clock.advance(Duration(1000));
+    this->storeAll();
+    this->answerRenewal("a", {}, { this->ended("a", this->starts.at(0).second, RunEnd::Done) });
+    EXPECT_TRUE(this->scheduler->takeStoredEnds().empty());
+    const auto batch = this->scheduler->takeUnsavedProgress(100);
+    EXPECT_TRUE(this->scheduler->takeStoredEnds().empty());
+    this->scheduler->progressNotSaved(batch);
+    EXPECT_TRUE(this->scheduler->takeStoredEnds().empty());
+    this->storeAll();
+    const auto ends = this->scheduler->takeStoredEnds();
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].job, "j");
+    EXPECT_EQ(ends[0].finalState, JobStatus::Completed);
+    EXPECT_TRUE(this->scheduler->takeStoredEnds().empty());
+}
+
+// Guards against a replaced row of a cancelled job whose tasks still run: a later leader would not know what they use.
+TEST_F(SchedulerTest, endOfACancelledJobIsReturnedOnceNothingOfItRuns)
+{
+    this->addServer("a");
+    this->scheduler->addJob(this->job("j", this->step(1)), false);
+    this->scheduler->tick();
+    this->confirmStarts();
+    this->clock.advance(Duration(10'000));
+    this->scheduler->cancelJob("j");
+    this->storeAll();
+    EXPECT_TRUE(this->scheduler->takeStoredEnds().empty());
+    this->answerRenewal("a", {}, { this->ended("a", this->starts.at(0).second, RunEnd::Stopped) });
+    this->storeAll();
+    ASSERT_EQ(this->scheduler->takeStoredEnds().size(), 1U);
+}
+
+// Guards against a replaced row of a cancelled job that may run on a server which has not answered a new leader.
+TEST_F(SchedulerTest, endOfAnInheritedCancelledJobIsReturnedOnceInheritedLeasesAreOver)
+{
+    this->scheduler->addJob(this->job("j", this->step(1)), true);
+    this->scheduler->loadProgress("j", R"({"state":"cancelled","next":1,"open":[]})", 3);
+    EXPECT_TRUE(this->scheduler->takeStoredEnds().empty());
+    this->clock.advance(Duration(9'600));
+    ASSERT_EQ(this->scheduler->takeStoredEnds().size(), 1U);
+}
+
 // Guards against work that is lost with an unresponsive server: repeated renewals must not extend its lease.
 TEST_F(SchedulerTest, workOfAnUnresponsiveServerStartsElsewhere)
 {
--- a/test/job/scheduling-leaders.cpp
+++ b/test/job/scheduling-leaders.cpp
@@ -52,10 +52,16 @@
         scheduler.addServer(server.record);
         leader.knownServers[id] = server.record.startedAt;
     }
-    for (const auto& [id, job] : this->jobs)
-        scheduler.addJob(job.spec, true);
-    for (const auto& [id, row] : this->progress)
-        scheduler.loadProgress(id, row.text, row.version);
+    for (const auto& [id, job] : this->jobs) {
+        if (job.endedState)
+            scheduler.addEndedJob(id, *job.endedState, this->progress.at(id).version);
+        else
+            scheduler.addJob(job.spec, true);
+    }
+    for (const auto& [id, row] : this->progress) {
+        if (!this->jobs.at(id).endedState)
+            scheduler.loadProgress(id, row.text, row.version);
+    }
     for (const auto& [id, record] : this->serversInUse)
         scheduler.addServerInUse(record);
     for (const auto& [id, job] : this->jobs) {
@@ -64,6 +70,25 @@
     }
 }
 
+void SchedulingWorld::compactEndedJobs(Leader& leader)
+{
+    constexpr unsigned lateEvery = 3;
+    constexpr unsigned neverEvery = 7;
+    for (const auto& end : leader.scheduler->takeStoredEnds()) {
+        const auto number = static_cast<unsigned char>(end.job.back());
+        if (number % neverEvery == 0)
+            continue;
+        const auto delay = number % lateEvery == 0 ? Duration(5000) : Duration(10);
+        this->at(this->manual.now() + delay, [this, end] {
+            const auto row = this->progress.find(end.job);
+            if (row == this->progress.end()
+                || Json::parse(row->second.text).at("state") != std::string(jobStatusName(end.finalState)))
+                this->addViolation("the row of " + end.job + " is replaced before its end is stored");
+            this->jobs.at(end.job).endedState = end.finalState;
+        });
+    }
+}
+
 JobSchedulerHooks SchedulingWorld::hooksOf(const std::shared_ptr<Leader>& leader)
 {
     const std::weak_ptr<Leader> weak = leader;
@@ -138,7 +163,8 @@
     auto& scheduler = *leader->scheduler;
     if (leader->partitionedFromStoreUntil <= now) {
         for (const auto& [id, job] : this->jobs) {
-            scheduler.addJob(job.spec, false);
+            if (!job.endedState)
+                scheduler.addJob(job.spec, false);
             if (job.cancelled)
                 scheduler.cancelJob(id);
         }
@@ -161,6 +187,7 @@
             scheduler.dispatchChanges();
         }
     }
+    this->compactEndedJobs(*leader);
     this->store(leader);
 }
 
--- a/test/job/scheduling-world.cpp
+++ b/test/job/scheduling-world.cpp
@@ -94,7 +94,7 @@
             step.dependencies = { number - 1 };
         job.steps.push_back(step);
     }
-    this->jobs.emplace(job.id, StoredJob { job, false });
+    this->jobs.emplace(job.id, StoredJob { job, false, std::nullopt });
 }
 
 int SchedulingWorld::unfinishedJobs() const
--- a/test/job/scheduling-world.h
+++ b/test/job/scheduling-world.h
@@ -105,6 +105,7 @@
     struct StoredJob {
         JobSpec spec;
         bool cancelled = false;
+        std::optional<JobStatus> endedState; // the row was replaced by that of an ended job
     };
     using Work = std::function<void()>;
 
@@ -130,6 +131,8 @@
     void superviseLeader();
     void electLeader();
     void load(Leader& leader);
+    // Replaces the rows of ended jobs, some of them late and some never.
+    void compactEndedJobs(Leader& leader);
     JobSchedulerHooks hooksOf(const std::shared_ptr<Leader>& leader);
     void driveLeader(const std::shared_ptr<Leader>& leader);
     void store(const std::shared_ptr<Leader>& leader);
