--- a/test/io/job-gateway-test.cpp
+++ b/test/io/job-gateway-test.cpp
@@ -3,6 +3,7 @@
 #include "io/process/job-gateway.h"
 
 #include "io/process/tables.h"
+#include "job/ended-job.h"
 #include "job/leadership.h"
 
 #include <gtest/gtest.h>
@@ -400,4 +401,19 @@
     }
 }
 
+// Guards against wrong answers about a job whose row was replaced after its end: with its progress row it is answered
+// as before, and it stays known without one.
+TEST_F(JobGatewayTest, aJobWhoseRowWasReplacedIsStillKnown)
+{
+    this->set(tables::jobRow("a"), encodeEndedJob(JobStatus::Failed));
+    const auto version = this->rows.at(tables::jobRow("a")).version;
+    EXPECT_EQ(this->request("GET", "/q/a").body, "failed");
+    EXPECT_EQ(this->submit("a"), 200);
+    EXPECT_EQ(this->request("DELETE", "/q/a").status, 200);
+    EXPECT_EQ(this->request("GET", "/q/a").body, "failed");
+    EXPECT_EQ(this->rows.at(tables::jobRow("a")).version, version);
+    this->setProgress("a", R"({"state":"failed","next":1,"open":[]})");
+    EXPECT_EQ(this->request("GET", "/q/a").body, "failed");
+}
+
 } // namespace waxwinglug::io
--- a/test/io/leader-session-test.cpp
+++ b/test/io/leader-session-test.cpp
@@ -1,6 +1,8 @@
 // What a leader tells and stores about pending jobs, and until when, over a simulated store.
 #include "io/process/leader-session.h"
 
+#include "job/ended-job.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
@@ -255,4 +257,31 @@
     }
 }
 
+// Guards against a load that grows with all jobs of the past, when the predecessor was lost before it replaced the rows
+// of ended jobs, and against a replaced row whose job runs again, with or without its progress.
+TEST_F(LeaderSessionTest, jobsThatANewLeaderFindsEndedAreReplacedAndDoNotRun)
+{
+    this->submit("ended");
+    this->submit("pending");
+    RowTransaction earlier;
+    earlier.writes
+        = { { { tables::progress, Leadership::part, "ended" }, R"({"state":"completed","next":1,"open":[]})" },
+              { { tables::progress, Leadership::part, "replaced" }, R"({"state":"failed","next":1,"open":[]})" },
+              { tables::jobRow("replaced"), encodeEndedJob(JobStatus::Failed) },
+              { tables::jobRow("without-progress"), encodeEndedJob(JobStatus::Completed) } };
+    this->apply(earlier);
+    const auto pendingVersion = this->rows.at(tables::jobRow("pending")).version;
+    this->session->start();
+    ASSERT_TRUE(this->runUntil([this] { return this->pendingQuotes().has_value(); }));
+    EXPECT_EQ(this->pendingQuotes(), 1);
+    EXPECT_EQ(this->session->scheduler().jobStatus("replaced"), JobStatus::Failed);
+    EXPECT_EQ(this->session->scheduler().jobStatus("without-progress"), JobStatus::Completed);
+    this->skip(Duration(3600));
+    ASSERT_TRUE(this->runUntil(
+        [this] { return decodeEndedJob(this->rows.at(tables::jobRow("ended")).value) == JobStatus::Completed; }));
+    this->skip(Duration(800));
+    EXPECT_EQ(this->pendingQuotes(), 1);
+    EXPECT_EQ(this->rows.at(tables::jobRow("pending")).version, pendingVersion);
+}
+
 } // namespace waxwinglug::io
