--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -7,6 +7,8 @@
 #include "io/process/leadership-offer.h"
 #include "io/process/log.h"
 #include "io/process/order-relay.h"
+#include "io/process/suspend-aware-clock.h"
+#include "io/process/table-ages.h"
 #include "io/process/table-follower.h"
 #include "io/process/tables.h"
 #include "job/leadership.h"
@@ -19,8 +21,8 @@
 
 #include <fmt/ranges.h>
 
+#include <array>
 #include <csignal>
-#include <ctime>
 #include <random>
 #include <set>
 
@@ -43,24 +45,8 @@
     // Limit per event. Each decision about a request or a task is logged, and a leader starts several hundred tasks a
     // second. A line takes about 10 us of processor time.
     constexpr int maxLogLinesPerSecond = 400;
-    // A follow call without changes takes 0.5 s, and the next one begins after it; older copies are logged.
-    constexpr Duration maxUsualTableAge { 1500 };
     constexpr std::uint64_t defaultMaxBodyBytes = 256ULL * 1024;
 
-    // A clock that advances while the VM is suspended, which std::chrono::steady_clock does not. A leader that resumes
-    // after a suspension must detect that its leadership may have expired.
-    Clock suspendAwareClock()
-    {
-        auto clock = systemClock();
-        clock.now = [] {
-            timespec time {};
-            clock_gettime(CLOCK_BOOTTIME, &time);
-            const auto sinceBoot = std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
-            return TimePoint(std::chrono::duration_cast<Duration>(sinceBoot));
-        };
-        return clock;
-    }
-
     // Returns the metric name of a log event. The counter includes lines that the rate limit of the log drops.
     std::string counterName(std::string_view event)
     {
@@ -123,6 +109,7 @@
     {
         JobGatewayHooks hooks;
         hooks.activeConfig = [this] { return this->config; };
+        hooks.configAge = [this] { return this->clock.now() - this->configMoment.requestedAt; };
         hooks.pendingJobs = [this] { return this->session ? this->session->pendingCounts() : std::nullopt; };
         hooks.isStoreAvailable = [this] { return this->isStoreAvailable(); };
         hooks.knownStoreVersion
@@ -404,27 +391,25 @@
         if (now - this->housekeepingAt >= std::chrono::seconds(1)) {
             this->housekeepingAt = now;
             this->httpClient.closeIdleConnections();
-            this->reportTableAges();
+            this->reportAges();
             this->log.reportDroppedLines();
         }
     }
 
-    void reportTableAges()
+    std::optional<Duration> ageOf(const TableMoment& moment) const
     {
-        const auto report = [this](std::string_view table, std::string_view gauge, std::optional<Duration> age) {
-            if (!age)
-                return;
-            this->metrics.setGauge(
-                gauge, "Age of this VM's copy of a table, in milliseconds.", static_cast<double>(age->count()));
-            if (*age > maxUsualTableAge)
-                this->log.info("copy of a table is old", { { "table", table }, { "age_ms", age->count() } });
-        };
-        const auto age = [this](const TableMoment& moment) { return this->clock.now() - moment.requestedAt; };
-        if (this->config)
-            report("configuration", "configuration_age_ms", age(this->configMoment));
-        report("lead", "leadership_age_ms", age(this->leadershipMoment));
-        report("job", "job_table_age_ms", this->session ? this->session->jobTableAge() : std::nullopt);
-        report("server", "server_table_age_ms", this->session ? this->session->serverTableAge() : std::nullopt);
+        return moment.version == 0 ? std::nullopt : std::optional(this->clock.now() - moment.requestedAt);
+    }
+
+    void reportAges()
+    {
+        const std::array<TableAge, 4> ages { {
+            { "configuration", "configuration_age_ms", this->ageOf(this->configMoment) },
+            { "lead", "leadership_age_ms", this->ageOf(this->leadershipMoment) },
+            { "job", "job_table_age_ms", this->session ? this->session->jobTableAge() : std::nullopt },
+            { "server", "server_table_age_ms", this->session ? this->session->serverTableAge() : std::nullopt },
+        } };
+        reportTableAges(ages, this->metrics, this->logHook());
     }
 
     const FleetNodeSettings settings;
--- a/src/io/process/job-gateway.cpp
+++ b/src/io/process/job-gateway.cpp
@@ -98,8 +98,10 @@
         timeout = std::clamp(Duration(milliseconds), Duration(1), Duration(60'000));
     exchange->deadline = exchange->startedAt + std::max(timeout - answerReserve, timeout / 2);
     exchange->config = this->hooks.activeConfig();
+    exchange->source = "configuration";
     if (!exchange->config)
         return this->answer(exchange, 503, "", "no configuration has been received yet");
+    exchange->age = this->hooks.configAge();
     const auto host = hostWithoutPort(findHeader(exchange->request.headers, "Host"));
     const std::string_view target = exchange->request.target;
     const auto path = target.substr(0, target.find('?'));
@@ -110,6 +112,8 @@
         = exchange->config->teamOfKey(findHeader(exchange->request.headers, this->platform.formats.keyHeader));
     if (!team && !exchange->queue->allowsAnonymous)
         return this->answer(exchange, 401, "", "no team has this key");
+    exchange->source = "store";
+    exchange->age.reset();
     exchange->team = team ? team->name : "";
     exchange->job = path.substr(exchange->queue->pathPrefix.size());
     const auto& method = exchange->request.method;
--- a/src/io/process/job-gateway.h
+++ b/src/io/process/job-gateway.h
@@ -22,6 +22,8 @@
 struct JobGatewayHooks {
     // The active configuration; nullptr before the first one.
     std::function<std::shared_ptr<const FleetConfig>()> activeConfig;
+    // Age of this VM's copy of the configuration.
+    std::function<Duration()> configAge;
     // The leader's own counts; nothing on other VMs, and on a leader that does not know all jobs of a recent moment.
     std::function<std::optional<PendingCounts>()> pendingJobs;
     // False while the store does not answer. A job is then rejected before anything is written, so that it is certainly
--- a/test/io/job-gateway-test.cpp
+++ b/test/io/job-gateway-test.cpp
@@ -68,6 +68,7 @@
             };
             JobGatewayHooks hooks;
             hooks.activeConfig = [this] { return this->config; };
+            hooks.configAge = [] { return Duration(70); };
             hooks.pendingJobs = [this] { return this->leaderCounts; };
             hooks.isStoreAvailable = [] { return true; };
             hooks.knownStoreVersion = [this] { return this->knownVersion; };
@@ -195,6 +196,21 @@
 
 } // namespace
 
+// Guards against a refusal that does not say how old the configuration is that it follows from.
+TEST_F(JobGatewayTest, refusalsByTheConfigurationLogItsAge)
+{
+    EXPECT_EQ(this->request("GET", "/other/").status, 404);
+    EXPECT_EQ(this->answerFields["source"], "configuration");
+    EXPECT_EQ(this->answerFields["age_ms"], "70");
+    this->config->teams.clear();
+    EXPECT_EQ(this->submit("a"), 401);
+    EXPECT_EQ(this->answerFields["age_ms"], "70");
+    this->config->queues[0].allowsAnonymous = true;
+    EXPECT_EQ(this->submit("a"), 200);
+    EXPECT_EQ(this->answerFields["source"], "store");
+    EXPECT_EQ(this->answerFields["age_ms"], "");
+}
+
 // Guards against a job that is stored twice or refused on its second submission.
 TEST_F(JobGatewayTest, aRepeatedSubmissionIsConfirmedAndStoredOnce)
 {
