Let the job feed answer in each step of the leader's tests

A step now ends when the leader has committed and the feed has answered a call of that step. Stricter for changesThatMayBeCutProveNoMoment, which passed without any answer of the feed.

--- a/test/io/job-gateway-test.cpp
+++ b/test/io/job-gateway-test.cpp
@@ -156,7 +156,7 @@
         {
             while (!this->events.empty()) {
                 const auto next = std::ranges::min_element(this->events, {}, &Event::at);
-                const auto event = *next;
+                const auto event = std::move(*next);
                 this->events.erase(next);
                 this->clock.advance(std::max(event.at - this->clock.now(), Duration(0)));
                 event.run();
--- a/test/io/leader-session-test.cpp
+++ b/test/io/leader-session-test.cpp
@@ -26,6 +26,7 @@
         std::uint64_t version = 1;
         std::vector<RowTransaction> transactions;
         std::string silentTable; // follow calls and lists of this table get no answer
+        int jobFeedAnswers = 0;
         bool changesMayBeCut = false;
         FleetPlatform platform;
         std::unique_ptr<Leadership> leadership;
@@ -106,6 +107,7 @@
                     if (name.table == table && row.version > after)
                         result.rows.push_back(row);
                 }
+                this->jobFeedAnswers += table == tables::jobs;
                 handler(result);
             });
         }
@@ -130,14 +132,20 @@
             return isDone();
         }
 
-        // Lets time pass in steps in which the leader renews its term.
+        // Lets time pass in steps in which the leader renews its term and the job feed answers a call of that step,
+        // unless a table is silent.
         void skip(Duration total)
         {
             for (Duration step { 400 }; total > Duration(0); total -= step) {
                 this->skipped += step;
-                const auto count = this->transactions.size();
-                EXPECT_TRUE(this->runUntil([&] { return this->transactions.size() > count; }));
-                this->context.run_one_for(Duration(20));
+                const auto commits = this->transactions.size();
+                const auto answers = this->jobFeedAnswers;
+                const auto end = std::chrono::steady_clock::now() + Duration(50);
+                EXPECT_TRUE(this->runUntil([&] {
+                    const bool hasFeedAnswered = this->silentTable.empty() ? this->jobFeedAnswers >= answers + 2
+                                                                           : std::chrono::steady_clock::now() > end;
+                    return this->transactions.size() > commits && hasFeedAnswered;
+                }));
             }
         }
 
