Report new rows while a table is read again

Cause: after "history of the store is gone" the follower read the whole table before it followed it again.

Evidence: TableFollower newRowsAreReportedWhileTheTableIsReadAgain failed before (the row waited for the second full read).

Why it works: a reader that has read the table before follows it from the version of the first page on while the other pages are read. A page may be older than a change that was reported meanwhile, so the full read is handed over with those changes. Answers of a read that was begun anew are ignored by their number, and the table counts as current only when the read is over.

--- a/src/io/process/table-follower.cpp
+++ b/src/io/process/table-follower.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+#include <map>
 #include <utility>
 
 namespace waxwinglug::io {
@@ -65,15 +67,21 @@
 
     void retryLater(void (State::*step)())
     {
-        this->time.runAfter(retryDelay, [weak = this->weak_from_this(), step] {
-            if (const auto self = weak.lock())
+        this->time.runAfter(retryDelay, [weak = this->weak_from_this(), read = this->readNumber, step] {
+            const auto self = weak.lock();
+            if (self && read == self->readNumber)
                 (self.get()->*step)();
         });
     }
 
-    // Reads all rows, for the first time or after the history was lost.
+    // Reads all rows, for the first time or after the history was lost. In the second case the table is followed from
+    // the first page on while the other pages are read, so that new rows need not wait for the read.
     void readTable()
     {
+        ++this->readNumber;
+        this->isReading = true;
+        this->readFrom = this->lastVersion;
+        this->changedWhileReading.clear();
         this->cost = {};
         this->cost.startedAt = this->time.clock.now();
         this->rows.clear();
@@ -85,8 +93,9 @@
 
     void requestPage()
     {
-        this->pageBudget->acquire([weak = this->weak_from_this(), budget = this->pageBudget] {
-            if (const auto self = weak.lock())
+        this->pageBudget->acquire([weak = this->weak_from_this(), read = this->readNumber, budget = this->pageBudget] {
+            const auto self = weak.lock();
+            if (self && read == self->readNumber)
                 self->readPage();
             else
                 budget->release();
@@ -102,8 +111,8 @@
         if (this->firstPageVersion == 0)
             this->firstPageMoment = { this->time.clock.now(), std::nullopt, 0 };
         this->store.list({ this->table, this->parts[this->partIndex], key }, "", { page.timeout, page.rows },
-            [weak = this->weak_from_this(), budget = this->pageBudget, requested = page, now = this->time.clock.now,
-                requestedAt = this->time.clock.now()](std::optional<RowPage> answer) {
+            [weak = this->weak_from_this(), read = this->readNumber, budget = this->pageBudget, requested = page,
+                now = this->time.clock.now, requestedAt = this->time.clock.now()](std::optional<RowPage> answer) {
                 const auto elapsed = now() - requestedAt;
                 if (answer)
                     budget->recordPage(pageSize(*answer), !answer->hasMore, elapsed);
@@ -111,7 +120,7 @@
                     budget->recordFailure(elapsed, requested.timeout);
                 budget->release();
                 const auto self = weak.lock();
-                if (!self)
+                if (!self || read != self->readNumber)
                     return;
                 if (answer)
                     self->onPage(std::move(*answer));
@@ -135,14 +144,15 @@
         this->recordAnswer();
         // Following starts at the version of the first page, so that no change made while later pages were read is
         // missed; a later page that is older than the first one would miss changes.
-        const auto knownVersion = std::max(this->lastVersion, this->firstPageVersion);
+        const auto knownVersion = std::max(this->readFrom, this->firstPageVersion);
         if (page.version < knownVersion) {
             ++this->cost.stalePages;
             this->hooks.log("stale answer of the store is read again",
                 { { "table", this->table }, { "version", page.version }, { "known", knownVersion } });
             return this->retryLater(&State::requestPage);
         }
-        if (this->firstPageVersion == 0) {
+        const bool isFirstPage = this->firstPageVersion == 0;
+        if (isFirstPage) {
             this->firstPageVersion = page.version;
             this->firstPageMoment.storeTime = page.time;
             this->firstPageMoment.version = page.version;
@@ -153,22 +163,59 @@
         const bool hasMore = page.hasMore && !page.rows.empty();
         this->lastKey = hasMore ? page.rows.back().name.key : std::string();
         std::ranges::move(page.rows, std::back_inserter(this->rows));
-        if (hasMore || ++this->partIndex < this->parts.size())
-            return this->requestPage();
-        this->lastVersion = std::max(this->lastVersion, this->firstPageVersion);
-        const auto allRows = std::exchange(this->rows, {});
         const auto self = this->shared_from_this();
+        const bool wasRead = this->wasReadBefore;
+        if (hasMore || ++this->partIndex < this->parts.size()) {
+            this->requestPage();
+            if (isFirstPage && wasRead)
+                this->followFromFirstPage();
+            return;
+        }
+        this->isReading = false;
+        this->wasReadBefore = true;
         this->logRead();
-        this->hooks.onFullRead(allRows);
+        this->hooks.onFullRead(this->takeRows());
         this->recordMoment(this->firstPageMoment);
+        if (isFirstPage || !wasRead)
+            this->followFromFirstPage();
+    }
+
+    void followFromFirstPage()
+    {
+        this->lastVersion = std::max(this->readFrom, this->firstPageVersion);
         this->follow();
     }
 
+    // The rows of all pages, with the changes that were reported while later pages were read: a page may be older.
+    std::vector<StoredRow> takeRows()
+    {
+        auto all = std::exchange(this->rows, {});
+        std::map<std::pair<std::string, std::string>, StoredRow> changed;
+        for (auto& row : std::exchange(this->changedWhileReading, {}))
+            changed.insert_or_assign({ row.name.part, row.name.key }, std::move(row));
+        std::erase_if(all, [&changed](const StoredRow& row) {
+            const auto change = changed.find({ row.name.part, row.name.key });
+            if (change == changed.end())
+                return false;
+            if (change->second.version >= row.version)
+                return true;
+            changed.erase(change);
+            return false;
+        });
+        for (auto& [name, row] : changed) {
+            if (!row.removed)
+                all.push_back(std::move(row));
+        }
+        return all;
+    }
+
     void follow()
     {
         this->store.follow(this->table, this->lastVersion, maxFollowWait,
-            [weak = this->weak_from_this(), requestedAt = this->time.clock.now()](const FollowResult& result) {
-                if (const auto self = weak.lock())
+            [weak = this->weak_from_this(), read = this->readNumber, requestedAt = this->time.clock.now()](
+                const FollowResult& result) {
+                const auto self = weak.lock();
+                if (self && read == self->readNumber)
                     self->onChanges(result, requestedAt);
             });
     }
@@ -187,9 +234,12 @@
         }
         const bool isStale = result.version < this->lastVersion;
         this->lastVersion = std::max(this->lastVersion, result.version);
+        if (this->isReading)
+            std::ranges::copy(result.rows, std::back_inserter(this->changedWhileReading));
         if (!result.rows.empty())
             this->hooks.onChanges(result.rows);
-        if (!result.mayHaveMore && !isStale)
+        // Until the read is over, rows that changed before it may be unknown.
+        if (!result.mayHaveMore && !isStale && !this->isReading)
             this->recordMoment({ requestedAt, result.time, result.version });
         this->follow();
     }
@@ -234,6 +284,12 @@
     std::size_t partIndex = 0; // index of the part that is being read
     std::string lastKey; // last key read from this part; empty: none
     std::uint64_t firstPageVersion = 0;
+    // Answers that belong to an earlier read than this are ignored.
+    std::uint64_t readNumber = 0;
+    std::uint64_t readFrom = 0; // the latest known version when the read began; no page may be older
+    bool isReading = false;
+    bool wasReadBefore = false;
+    std::vector<StoredRow> changedWhileReading; // in the order of their versions
     TableMoment firstPageMoment;
     ReadCost cost;
     bool isUnavailable = false;
--- a/test/io/table-follower-test.cpp
+++ b/test/io/table-follower-test.cpp
@@ -319,6 +319,32 @@
     EXPECT_EQ(view.values, store.values("job"));
 }
 
+// Guards against new rows that wait until a large table has been read again: a leader whose history was lost at a peak
+// learned of jobs 4.8 s after they were stored.
+TEST(TableFollower, newRowsAreReportedWhileTheTableIsReadAgain)
+{
+    SimulatedStore store;
+    fill(store, "job", 2'000, 1'000);
+    View view;
+    const auto follower = view.follow(store, "job", eightParts);
+    ASSERT_TRUE(store.runUntil([&] { return view.fullReads == 1; }, Duration(5'000)));
+    store.bytesPerMs = thinLink;
+    store.write(rowName("job", 5'000), "not followed");
+    store.dropHistory();
+    const auto pagesBefore = store.pages;
+    store.beforePage = [&](int page) {
+        if (page == pagesBefore + 3) {
+            store.write(rowName("job", 4'000), "added");
+            store.write(rowName("job", 0), "changed");
+            store.remove(rowName("job", 8));
+        }
+    };
+    ASSERT_TRUE(store.runUntil([&] { return view.values.contains("0/004000"); }, Duration(60'000)));
+    EXPECT_EQ(view.fullReads, 1) << "the row waited for the read";
+    ASSERT_TRUE(store.runUntil([&] { return view.fullReads == 2; }, Duration(60'000)));
+    EXPECT_TRUE(view.values == store.values("job"));
+}
+
 // Guards against any order of losses, changes and lost history on any link after which a follower differs from the
 // store.
 RC_GTEST_PROP(TableFollowerProperty, reachesTheStateOfTheStoreOnAnyLink, ())
