Wait for the job feed in the test of replaced rows

The new test failed in its first run: simulated time had passed while a call of the feed was in flight, so the leader rightly told no count. The test now waits for the next call and then expects the same count.

--- a/test/io/leader-session-test.cpp
+++ b/test/io/leader-session-test.cpp
@@ -280,6 +280,8 @@
     ASSERT_TRUE(this->runUntil(
         [this] { return decodeEndedJob(this->rows.at(tables::jobRow("ended")).value) == JobStatus::Completed; }));
     this->skip(Duration(800));
+    // A call of the feed that was sent before the skip proves only an old moment.
+    ASSERT_TRUE(this->runUntil([this] { return this->pendingQuotes().has_value(); }));
     EXPECT_EQ(this->pendingQuotes(), 1);
     EXPECT_EQ(this->rows.at(tables::jobRow("pending")).version, pendingVersion);
 }
