Log the load of the leader and of relays each second

A VM that leads or relays logs them once a second with its backlog (`leader load`: starts, reports, jobs received, orders not answered, oldest unsent order, oldest report, unsaved jobs, age of the commit; `relay load`: orders, open orders, held results); /metrics has processor time, lateness and unsaved jobs as gauges.

--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -6,6 +6,7 @@
 #include "io/process/leader-session.h"
 #include "io/process/leadership-offer.h"
 #include "io/process/log.h"
+#include "io/process/loop-monitor.h"
 #include "io/process/order-relay.h"
 #include "io/process/table-follower.h"
 #include "io/process/tables.h"
@@ -19,6 +20,7 @@
 
 #include <fmt/ranges.h>
 
+#include <cmath>
 #include <csignal>
 #include <ctime>
 #include <random>
@@ -94,6 +96,8 @@
         , signals(this->context, SIGTERM, SIGINT, SIGHUP)
         , tickTimer(this->context)
         , registrationTimer(this->context)
+        , loopMonitor(this->context, this->clock, processProcessorTime,
+              [this](const LoopUsage& usage) { this->reportUsage(usage); })
         , storeAnsweredAt(this->clock.now())
     {
     }
@@ -106,6 +110,7 @@
         this->followLeadership();
         this->waitForSignal();
         this->tick();
+        this->loopMonitor.start();
         this->context.run();
         this->log.info("stops", { { "node", this->settings.name } });
     }
@@ -358,6 +363,7 @@
         for (const auto& [number, wave] : this->waves)
             this->session->addWave(wave);
         this->session->setEvacuatedDataCentres(this->evacuatedDataCentres);
+        this->lastWork = {};
         this->session->start();
     }
 
@@ -384,6 +390,38 @@
             this->session->releaseLeadership();
     }
 
+    // Sets the gauges of this VM's load; a VM that leads or relays logs them too.
+    void reportUsage(const LoopUsage& usage)
+    {
+        const auto processorShare
+            = static_cast<double>(usage.processorTime.count()) * 1000 / static_cast<double>(usage.interval.count());
+        this->metrics.setGauge("processor_millicores", "processor time used in the last second", processorShare);
+        this->metrics.setGauge("loop_lateness_ms", "largest lateness of a timer in the last second",
+            static_cast<double>(usage.maxLateness.count()));
+        const auto relayed
+            = this->relay->acceptedOrderCount() - std::exchange(this->relayedOrders, this->relay->acceptedOrderCount());
+        if (relayed > 0)
+            this->log.info("relay load",
+                { { "millicores", std::lround(processorShare) }, { "late_max_ms", usage.maxLateness.count() },
+                    { "late_mean_ms", usage.totalLateness.count() / usage.samples }, { "orders", relayed },
+                    { "open_orders", this->relay->openOrderCount() }, { "results", this->relay->heldResultCount() } });
+        if (!this->session || !this->session->isLoaded())
+            return;
+        const auto work = this->session->work();
+        const auto last = std::exchange(this->lastWork, work);
+        this->metrics.setGauge(
+            "unsaved_jobs", "jobs with changes that are not stored", static_cast<double>(work.unsavedJobs));
+        this->log.info("leader load",
+            { { "fence", this->leadership.fence() }, { "millicores", std::lround(processorShare) },
+                { "late_max_ms", usage.maxLateness.count() },
+                { "late_mean_ms", usage.totalLateness.count() / usage.samples },
+                { "starts", work.starts - last.starts }, { "reports", work.reports - last.reports },
+                { "jobs", work.jobsReceived - last.jobsReceived }, { "unanswered", work.unansweredOrders },
+                { "oldest_unsent_ms", work.oldestUnsentOrder.count() },
+                { "oldest_report_ms", work.oldestReport.count() }, { "unsaved", work.unsavedJobs },
+                { "commit_age_ms", work.commitAge.count() } });
+    }
+
     void tick()
     {
         this->tickTimer.expires_after(tickInterval);
@@ -441,6 +479,7 @@
     boost::asio::signal_set signals;
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer registrationTimer;
+    LoopMonitor loopMonitor;
     std::unique_ptr<CallerServer> callerServer;
     std::unique_ptr<CallerServer> healthServer;
     std::unique_ptr<CallerServer> operatorServer;
@@ -456,6 +495,8 @@
     TimePoint storeFailedAt;
     TimePoint housekeepingAt;
     TimePoint stopRequestedAt;
+    std::uint64_t relayedOrders = 0; // accepted until the latest report of usage
+    LeaderWork lastWork; // of this term, at the latest report of usage
     bool isStopping = false;
 };
 
--- a/src/io/process/leader-session-storage.cpp
+++ b/src/io/process/leader-session-storage.cpp
@@ -69,6 +69,7 @@
     if (!transaction.changesRows())
         return;
     this->isCommitting = true;
+    this->commitSentAt = this->clock.now();
     this->nextCommitAt = this->clock.now() + minCommitInterval;
     this->platform.store.commit(transaction.take(), commitTimeout,
         this->guarded([this, sentAt = this->clock.now(), batch = std::move(batch)](
--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -84,6 +84,7 @@
     JobSchedulerHooks scheduler;
     scheduler.start = [this](const ServerRecord& server, const StartOrder& order) {
         this->phases.taskStarted();
+        ++this->startCount;
         this->servers.start(server, order,
             this->guarded([this, id = server.id, task = order.task, run = order.run](OrderStatus status) {
                 this->jobScheduler.startAnswered(id, task, run, status);
@@ -104,6 +105,7 @@
         this->servers.renewLease(server, order,
             this->guarded(
                 [this, id = server.id, sentAt = this->clock.now()](OrderStatus status, const RenewReport& report) {
+                    ++this->reportCount;
                     this->jobScheduler.renewAnswered(id, sentAt, status, report);
                     this->scheduleDispatch();
                 }));
@@ -371,6 +373,7 @@
 
 void LeaderSession::addJob(const StoredRow& row)
 {
+    ++this->receivedJobCount;
     // The progress of an ended job was stored before, so it is known.
     if (decodeEndedJob(row.value))
         return;
@@ -561,6 +564,19 @@
     this->phases.log(this->hooks.log, this->leadership.fence());
 }
 
+LeaderWork LeaderSession::work() const
+{
+    const auto now = this->clock.now();
+    LeaderWork work { this->startCount, this->reportCount, this->receivedJobCount,
+        this->relayedServers->unansweredOrderCount(), this->relayedServers->oldestUnsentOrderAge(), Duration(0),
+        this->jobScheduler.unsavedJobCount(), this->isCommitting ? now - this->commitSentAt : Duration(0) };
+    for (const auto& [id, server] : this->jobScheduler.servers()) {
+        if (server->isReachable())
+            work.oldestReport = std::max(work.oldestReport, now - server->lastReportAt);
+    }
+    return work;
+}
+
 void LeaderSession::releaseLeadership()
 {
     if (this->hasEnded)
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -39,6 +39,18 @@
     LogHook log;
 };
 
+// Work of the leader since its term began, and what waits now.
+struct LeaderWork {
+    std::uint64_t starts = 0;
+    std::uint64_t reports = 0;
+    std::uint64_t jobsReceived = 0;
+    std::size_t unansweredOrders = 0; // at the relays
+    Duration oldestUnsentOrder { 0 };
+    Duration oldestReport { 0 }; // of the servers that answer
+    std::size_t unsavedJobs = 0;
+    Duration commitAge { 0 }; // of the transaction in flight
+};
+
 class LeaderSession : public std::enable_shared_from_this<LeaderSession> {
 public:
     // `client` calls the relays, which `relays` selects.
@@ -61,6 +73,8 @@
     // Upper bounds of the age of this leader's copies of the tables; nothing before they have been read and applied.
     std::optional<Duration> jobTableAge() const { return this->ageOf(this->jobsMoment); }
     std::optional<Duration> serverTableAge() const { return this->ageOf(this->serversMoment); }
+    bool isLoaded() const { return this->hasLoaded; }
+    LeaderWork work() const;
     // Sends the orders and stores the records of changed jobs after a short delay, together with those of other events.
     void scheduleDispatch();
 
@@ -173,6 +187,11 @@
     std::map<std::string, int> storedSummary; // pending jobs by queue
     TimePoint summaryWrittenAt; // TimePoint {}: the latest one failed
     TimePoint nextCommitAt; // earliest start of the next commit
+    TimePoint commitSentAt; // start of the latest commit
+    // Since the start of this term.
+    std::uint64_t startCount = 0;
+    std::uint64_t reportCount = 0;
+    std::uint64_t receivedJobCount = 0;
 };
 
 // Wraps a handler so that it does nothing after the session has ended.
--- a/src/io/process/order-relay.cpp
+++ b/src/io/process/order-relay.cpp
@@ -70,6 +70,7 @@
                 { "refused", batch.orders.size() } });
         return respond({ 503, {}, "" });
     }
+    this->acceptedOrders += batch.orders.size();
     for (auto& order : batch.orders)
         this->carryOut(std::move(order));
     respond({ 200, {}, "" });
--- a/src/io/process/order-relay.h
+++ b/src/io/process/order-relay.h
@@ -36,6 +36,11 @@
 
     // Returns true if the request is for the relay; `respond` is then called, possibly later.
     bool handle(const HttpRequest& request, const Respond& respond);
+    // Orders that the servers have not answered, and results that the leader has not fetched.
+    std::size_t openOrderCount() const { return this->openOrders; }
+    std::size_t heldResultCount() const { return this->results.size(); }
+    // Orders accepted so far.
+    std::uint64_t acceptedOrderCount() const { return this->acceptedOrders; }
 
 private:
     void acceptOrders(const HttpRequest& request, const Respond& respond);
@@ -56,6 +61,7 @@
     boost::asio::steady_timer pollTimer;
     std::uint64_t latestFence = 0;
     std::size_t openOrders = 0;
+    std::uint64_t acceptedOrders = 0;
     // Results of the latest term that are not returned yet; bounded by the orders that are accepted at once.
     std::vector<RelayResult> results;
     Respond waitingPoll; // empty while the leader does not poll
--- a/src/io/process/relayed-servers.cpp
+++ b/src/io/process/relayed-servers.cpp
@@ -101,6 +101,7 @@
 {
     if (std::exchange(this->isFlushScheduled, true))
         return;
+    this->flushScheduledAt = this->clock.now();
     this->flushTimer.expires_after(flushDelay);
     this->flushTimer.async_wait([weak = this->weak_from_this()](const boost::system::error_code& error) {
         const auto self = weak.lock();
@@ -109,6 +110,11 @@
     });
 }
 
+Duration RelayedServers::oldestUnsentOrderAge() const
+{
+    return this->isFlushScheduled ? this->clock.now() - this->flushScheduledAt : Duration(0);
+}
+
 void RelayedServers::flush()
 {
     this->isFlushScheduled = false;
--- a/src/io/process/relayed-servers.h
+++ b/src/io/process/relayed-servers.h
@@ -47,6 +47,10 @@
     bool isReady() const;
     // Fails orders whose result is overdue. Call about ten times a second.
     void failOverdueOrders();
+    // Orders sent to relays and waiting for their result.
+    std::size_t unansweredOrderCount() const { return this->pending.size(); }
+    // How long the oldest order has waited for its relay's message; 0 if none does.
+    Duration oldestUnsentOrderAge() const;
 
 private:
     using Handler = std::function<void(OrderStatus, const RenewReport&)>;
@@ -83,6 +87,7 @@
     const RelayedServersHooks hooks;
     boost::asio::steady_timer flushTimer;
     bool isFlushScheduled = false;
+    TimePoint flushScheduledAt; // when the oldest order of the next messages was added
     std::map<std::string, Link> links;
     std::unordered_map<std::uint64_t, Pending> pending;
     std::uint64_t lastOrderId = 0;
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -115,6 +115,8 @@
     // `maxBytes` bounds the encoded size of the batch.
     std::vector<ProgressWrite> takeUnsavedProgress(
         std::size_t maxCount, std::size_t maxBytes = std::numeric_limits<std::size_t>::max());
+    // Jobs with changes that are in no batch yet.
+    std::size_t unsavedJobCount() const { return this->unsaved.size(); }
     void progressSaved(std::span<const ProgressWrite> batch, std::uint64_t rowVersion);
     void progressNotSaved(std::span<const ProgressWrite> batch);
     // Sets the actual version of a job's progress row after a write failed with a version conflict.
