Look once for a server for needs that fit nowhere

What callers saw: nothing by itself; while a queue has more work than servers, the leader spends its processor on the search.

Cause: each waiting step was compared with all servers of its service in each dispatch, every 5 ms, though an earlier step of the same dispatch had shown that less does not fit.

Why it works: free capacity only shrinks while a service is dispatched, so a need that contains one that fitted on no candidate is not looked for again. Steps with a label or a limit for each server prove nothing for others.

--- a/bench/scheduling-bench.cpp
+++ b/bench/scheduling-bench.cpp
@@ -15,6 +15,8 @@
             load.step();
         const auto starts = load.starts();
         const auto renewals = load.renewals();
+        const auto examined = load.jobScheduler().examinedServerCount();
+        const auto dispatchTime = load.dispatchTime();
         for (auto _ : state) {
             for (int step = 0; step < 2000; ++step)
                 load.step();
@@ -23,6 +25,10 @@
         state.counters["starts"] = started;
         state.counters["open_jobs"] = static_cast<double>(load.unfinishedJobs());
         state.counters["holds_per_start"] = static_cast<double>(load.renewals() - renewals) / started;
+        state.counters["examined_per_start"]
+            = static_cast<double>(load.jobScheduler().examinedServerCount() - examined) / started;
+        state.counters["dispatch_us_per_start"]
+            = static_cast<double>((load.dispatchTime() - dispatchTime).count()) / 1000 / started;
         state.counters["time_per_start"]
             = benchmark::Counter(started, benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
     }
@@ -32,6 +38,7 @@
         ->Args({ 60, 85 })
         ->Args({ 120, 85 })
         ->Args({ 160, 275 })
+        ->Args({ 400, 275 })
         ->Iterations(1)
         ->Unit(benchmark::kMillisecond);
 
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -205,6 +205,7 @@
 
 void JobScheduler::dispatchService(const std::string& service)
 {
+    this->unplaceableNeeds.clear();
     const auto candidates = this->usableServers(service);
     const auto ready = this->readySteps(service, candidates);
     if (candidates.empty())
@@ -258,6 +259,24 @@
         && within(total.accelerators, team->limit.accelerators);
 }
 
+bool JobScheduler::isUnplaceable(const Resources& need) const
+{
+    return std::ranges::any_of(
+        this->unplaceableNeeds, [&need](const Resources& smaller) { return smaller.fitsIn(need); });
+}
+
+void JobScheduler::recordUnplaceable(const StepSpec& step)
+{
+    // The servers of a label, or without other tasks of the step, are not all candidates.
+    if (!step.requiredLabel.empty() || step.maxTasksPerServer > 0)
+        return;
+    const auto need = reservedResources(step);
+    if (this->isUnplaceable(need))
+        return;
+    std::erase_if(this->unplaceableNeeds, [&need](const Resources& larger) { return need.fitsIn(larger); });
+    this->unplaceableNeeds.push_back(need);
+}
+
 void JobScheduler::placeStep(const ReadyStep& ready, std::span<Server* const> candidates)
 {
     auto& job = *ready.job;
@@ -270,9 +289,13 @@
             continue;
         if (!this->fitsTeamLimit(job, need))
             return this->recordWait(ready, teamAtLimit);
-        auto* server = this->chooseServer(ready, task, candidates, {});
-        if (!server)
+        const auto& spec = job.spec.steps[ready.step];
+        auto* server
+            = this->isUnplaceable(reservedResources(spec)) ? nullptr : this->chooseServer(ready, task, candidates, {});
+        if (!server) {
+            this->recordUnplaceable(spec);
             return this->recordWait(ready, noServerFits);
+        }
         this->startTask(job, *ready.occurrence, ready.step, index, *server, this->nextRunNumber({ &task, 1 }));
     }
 }
@@ -292,6 +315,8 @@
         gangResources += spec.taskResources;
     if (!this->fitsTeamLimit(job, gangResources))
         return this->recordWait(ready, teamAtLimit);
+    if (this->isUnplaceable(reservedResources(spec)))
+        return this->recordWait(ready, noServerFits);
     std::map<const Server*, Resources> planned;
     std::vector<Server*> chosen;
     for (const auto& task : step.tasks) {
@@ -311,6 +336,7 @@
 {
     const auto& spec = ready.job->spec.steps[ready.step];
     const auto need = reservedResources(spec);
+    this->examinedServers += candidates.size();
     Server* best = nullptr;
     std::int64_t bestScore = std::numeric_limits<std::int64_t>::min();
     for (auto* server : candidates) {
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -172,6 +172,8 @@
     // them.
     bool isPartitioned() const;
 
+    // Number of servers that were compared with the need of a task since the start of this term.
+    std::uint64_t examinedServerCount() const { return this->examinedServers; }
     const detail::ServerMap& servers() const { return this->serverMap; }
     const detail::JobTable& jobs() const { return this->jobTable; }
 
@@ -269,6 +271,9 @@
     std::vector<ActiveOccurrence> prioritizeOccurrences(
         const std::string& service, std::span<detail::Server* const> candidates) const;
     std::vector<ReadyStep> readySteps(const std::string& service, std::span<detail::Server* const> candidates);
+    // Returns true if no candidate of this dispatch has enough free capacity, as the choice for an earlier task showed.
+    bool isUnplaceable(const Resources& need) const;
+    void recordUnplaceable(const StepSpec& step);
     detail::Server* chooseServer(const ReadyStep& ready, const detail::Task& task,
         std::span<detail::Server* const> candidates, const std::map<const detail::Server*, Resources>& planned) const;
     bool isUsable(const detail::Server& server, TimePoint now) const;
@@ -308,6 +313,10 @@
     };
     std::map<std::tuple<std::string, std::string, std::string_view>, Wait> waits;
     TimePoint waitsLoggedAt;
+    // Needs that fit on no candidate of the current service. Free capacity only shrinks while a service is dispatched,
+    // so larger needs do not fit either.
+    std::vector<Resources> unplaceableNeeds;
+    mutable std::uint64_t examinedServers = 0;
     bool recordsWaits = false; // the current dispatch counts waiting tasks for the log
     // Upper bound of what each team may be running on servers that have not answered yet, computed by the latest
     // dispatch.
--- a/test/support/scheduling-load.cpp
+++ b/test/support/scheduling-load.cpp
@@ -3,6 +3,8 @@
 
 #include <fmt/format.h>
 
+#include <ctime>
+
 namespace waxwinglug::test {
 namespace {
 
@@ -10,6 +12,13 @@
     constexpr Duration peakDuration { 4500 };
     constexpr int stepsPerTick = 10; // the leader ticks every 50 ms and handles events every 5 ms
 
+    std::chrono::nanoseconds threadTime()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+        return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    }
+
     std::string serviceName(int number) { return fmt::format("service-{}", number); }
 
 } // namespace
@@ -147,11 +156,13 @@
     }
     this->advanceServers();
     this->store();
+    const auto startedAt = threadTime();
     this->scheduler->dispatchChanges();
     if (this->manual.now().time_since_epoch() / stepTime % stepsPerTick == 0) {
         this->scheduler->tick();
         this->scheduler->takeExpiredJobs(1);
     }
+    this->dispatchDuration += threadTime() - startedAt;
 }
 
 std::size_t SchedulingLoad::unfinishedJobs() const
--- a/test/support/scheduling-load.h
+++ b/test/support/scheduling-load.h
@@ -30,6 +30,8 @@
     std::uint64_t starts() const { return this->startCount; }
     std::uint64_t renewals() const { return this->renewalCount; }
     std::size_t unfinishedJobs() const;
+    // Processor time of the dispatches and ticks.
+    std::chrono::nanoseconds dispatchTime() const { return this->dispatchDuration; }
     // Stops or resumes the storing of progress, as an unavailable store does.
     void setStoreAvailable(bool available) { this->isStoreAvailable = available; }
     JobScheduler& jobScheduler() { return *this->scheduler; }
@@ -59,6 +61,7 @@
     Random random { 1 };
     int rate = 60;
     bool isStoreAvailable = true;
+    std::chrono::nanoseconds dispatchDuration { 0 };
     std::int64_t dueMilliJobs = 0; // thousandths of a job that are due to arrive
     std::uint64_t jobs = 0;
     std::uint64_t startCount = 0;
