Compute the remaining work of a job only after a task of it is done

Cause: each dispatch computed critical path and remaining work of every active job of the service again, 200 times a second, with an allocation each, though they change only when a task is done.

Why it works: the value is kept with the occurrence and is valid as long as the number of changes of the done tasks of its steps is the same; these changes are counted where the number of done tasks is set, in setPhase().

--- a/src/job/demand.cpp
+++ b/src/job/demand.cpp
@@ -21,22 +21,12 @@
 
 } // namespace
 
-std::int64_t detail::remainingWork(const JobSpec& spec, const Occurrence& occurrence)
-{
-    std::int64_t work = 0;
-    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
-        const auto left = static_cast<std::int64_t>(occurrence.steps[step].tasks.size()) - occurrence.steps[step].done;
-        work += left * spec.steps[step].taskResources.cpu * spec.steps[step].estimatedDuration.count();
-    }
-    return work;
-}
-
 void JobScheduler::recordArrival(const JobRecord& job)
 {
     if (job.isLongRunning || job.activeOccurrences.empty())
         return;
     this->arrivals[job.service].push_back(
-        { this->clock.now(), detail::remainingWork(job.spec, job.activeOccurrences.begin()->second) });
+        { this->clock.now(), job.activeOccurrences.begin()->second.remaining(job.spec).work });
 }
 
 void JobScheduler::expireArrivals()
@@ -60,7 +50,7 @@
         for (const auto& [number, occurrence] : job->activeOccurrences) {
             if (!job->isLongRunning) {
                 const auto left = std::max(job->softDeadline(occurrence) - now, minTimeLeft);
-                activeWork += detail::remainingWork(job->spec, occurrence) / left.count();
+                activeWork += occurrence.remaining(job->spec).work / left.count();
                 continue;
             }
             for (const auto& step : job->spec.steps)
--- a/src/job/job-table.cpp
+++ b/src/job/job-table.cpp
@@ -144,19 +144,34 @@
         [this](int earlier) { return this->steps[static_cast<std::size_t>(earlier)].isComplete(); });
 }
 
-Duration Occurrence::remainingCriticalPath(const JobSpec& spec) const
+const RemainingWork& Occurrence::remaining(const JobSpec& spec) const
 {
+    int changes = 0;
+    for (const auto& step : this->steps)
+        changes += step.doneChanges;
+    if (changes != this->cachedDoneChanges) {
+        this->cachedRemaining = this->computeRemaining(spec);
+        this->cachedDoneChanges = changes;
+    }
+    return this->cachedRemaining;
+}
+
+RemainingWork Occurrence::computeRemaining(const JobSpec& spec) const
+{
+    RemainingWork remaining;
     // Steps depend only on earlier ones, so a single pass in order is a topological order.
     std::vector<Duration> ends(spec.steps.size());
-    Duration longest { 0 };
     for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        const auto& declared = spec.steps[step];
+        const auto left = static_cast<std::int64_t>(this->steps[step].tasks.size()) - this->steps[step].done;
+        remaining.work += left * declared.taskResources.cpu * declared.estimatedDuration.count();
         Duration start { 0 };
-        for (const int earlier : spec.steps[step].dependencies)
+        for (const int earlier : declared.dependencies)
             start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
-        ends[step] = start + (this->steps[step].isComplete() ? Duration(0) : spec.steps[step].estimatedDuration);
-        longest = std::max(longest, ends[step]);
+        ends[step] = start + (this->steps[step].isComplete() ? Duration(0) : declared.estimatedDuration);
+        remaining.criticalPath = std::max(remaining.criticalPath, ends[step]);
     }
-    return longest;
+    return remaining;
 }
 
 Task* JobRecord::find(const TaskId& id)
@@ -257,7 +272,10 @@
     if (task.phase == phase)
         return;
     step.waiting += (phase == TaskPhase::Waiting ? 1 : 0) - (task.phase == TaskPhase::Waiting ? 1 : 0);
-    step.done += (phase == TaskPhase::Done ? 1 : 0) - (task.phase == TaskPhase::Done ? 1 : 0);
+    if (phase == TaskPhase::Done || task.phase == TaskPhase::Done) {
+        step.done += phase == TaskPhase::Done ? 1 : -1;
+        ++step.doneChanges;
+    }
     task.phase = phase;
 }
 
--- a/src/job/job-table.h
+++ b/src/job/job-table.h
@@ -59,9 +59,16 @@
     std::vector<Task> tasks;
     int done = 0;
     int waiting = 0; // tasks in phase Waiting
+    int doneChanges = 0; // number of changes of `done`
     bool isComplete() const { return this->done == static_cast<int>(this->tasks.size()); }
 };
 
+// What is left to do of an occurrence, by the declared durations.
+struct RemainingWork {
+    Duration criticalPath { 0 }; // longest chain of dependent steps that are not complete
+    std::int64_t work = 0; // thousandths of a core times milliseconds
+};
+
 struct Occurrence {
     int number = 0;
     WallTime dueAt {};
@@ -69,8 +76,14 @@
     bool isComplete() const;
     // Returns true if all dependencies of the step are complete.
     bool isReady(const JobSpec& spec, std::size_t step) const;
-    // Declared run time of the longest chain of dependent steps that are not complete.
-    Duration remainingCriticalPath(const JobSpec& spec) const;
+    // Computed again only after a task has been done: each dispatch asks for all active occurrences of a service.
+    const RemainingWork& remaining(const JobSpec& spec) const;
+
+private:
+    RemainingWork computeRemaining(const JobSpec& spec) const;
+
+    mutable RemainingWork cachedRemaining;
+    mutable int cachedDoneChanges = -1; // sum over the steps when the cached value was computed; negative: none is
 };
 
 struct JobRecord {
@@ -136,9 +149,6 @@
     JobMap jobs;
 };
 
-// Remaining declared work of an occurrence, in thousandths of a core times milliseconds.
-std::int64_t remainingWork(const JobSpec& spec, const Occurrence& occurrence);
-
 // Changes the phase of a task and updates the counts of its step.
 void setPhase(StepProgress& step, Task& task, TaskPhase phase);
 
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -143,9 +143,10 @@
     for (auto* job : this->activeJobs.at(service)) {
         for (auto& [number, occurrence] : job->activeOccurrences) {
             active.push_back({ job, &occurrence, LongRunningRank, 0 });
-            if (!job->isLongRunning)
-                jobs.push_back({ job->softDeadline(occurrence) - now, occurrence.remainingCriticalPath(job->spec),
-                    detail::remainingWork(job->spec, occurrence) });
+            if (job->isLongRunning)
+                continue;
+            const auto& remaining = occurrence.remaining(job->spec);
+            jobs.push_back({ job->softDeadline(occurrence) - now, remaining.criticalPath, remaining.work });
         }
     }
     std::int64_t processor = 0;
@@ -157,7 +158,7 @@
         if (each.job->isLongRunning)
             continue;
         const auto& job = jobs[index];
-        const auto allowed = each.job->softDeadline(*each.occurrence) - each.occurrence->dueAt;
+        const auto allowed = job.timeLeft + now - each.occurrence->dueAt;
         const auto lateLeft = job.timeLeft + allowed * (maxLateFactor - 1);
         each.rank = inTime[index] ? InTimeRank : job.criticalPath <= lateLeft ? LateRank : OverdueRank;
         each.order = inTime[index] ? job.timeLeft.count() : job.work;
