--- a/include/waxwinglug/settings.h
+++ b/include/waxwinglug/settings.h
@@ -70,6 +70,8 @@
     Duration minOrderInterval { 0 };
     // How long a machine is unavailable during maintenance.
     Duration maintenanceDuration { 0 };
+    // Moves and maintenance orders that the platform accepts in a second.
+    double machineOrdersPerSecond = 0;
 };
 
 // One setting as listed by `--help`.
--- a/src/process/fleet-node-settings.cpp
+++ b/src/process/fleet-node-settings.cpp
@@ -26,6 +26,13 @@
         return cores.has_value();
     }
 
+    bool storeMachineOrders(FleetNodeSettings& settings, std::string_view value)
+    {
+        const auto number = parseDecimal(value, 1, 100'000);
+        settings.machineOrdersPerSecond = number.value_or(0);
+        return number.has_value();
+    }
+
     // Parses durations that the platform states in decimal seconds.
     auto secondsInto(Duration FleetNodeSettings::*member)
     {
@@ -56,6 +63,9 @@
                 endpointInto(&S::store) },
             { { "platform", "machines", "", endpointFormat, "address of the platform's machine list" },
                 endpointInto(&S::machines) },
+            { { "platform", "machine-orders", "40", "orders a second, 1 to 100000, decimals allowed",
+                  "machine orders that the platform accepts" },
+                storeMachineOrders },
             { { "platform", "longest-lease", "10s", "duration, 1s to 1h", "longest lease that backend servers grant" },
                 durationInto(&S::maxServerLease, seconds(1), hours(1)) },
             { { "platform", "order-lease", "3s", "duration, 0ms to 1m",
