--- a/test/io/table-follower-test.cpp
+++ b/test/io/table-follower-test.cpp
@@ -230,6 +230,7 @@
     const auto budget = std::make_shared<PageBudget>();
     std::vector<View> views(tables.size());
     std::vector<std::unique_ptr<TableFollower>> followers;
+    followers.reserve(tables.size());
     for (std::size_t index = 0; index < tables.size(); ++index)
         followers.push_back(views[index].follow(store, tables[index], eightParts, budget));
     int heartbeats = 0;
