End calls only from the event loop, not while another one is made

PoolMover erases a refused move, so a move that expired while another order was made could leave its loop with an iterator to an erased entry.

Evidence: AsyncHttpClientTest.callsDoNotEndWhileAnotherOneIsMade failed before (one call had ended inside the next one, two with an address that is none).

Why it works: such ends are posted to the event loop.

--- a/src/io/connection/async-http-client.cpp
+++ b/src/io/connection/async-http-client.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -74,7 +75,7 @@
     }
 
     void startQueuedCalls(Lane& lane);
-    static void dropExpiredCalls(Lane& lane, TimePoint now);
+    void dropExpiredCalls(Lane& lane, TimePoint now);
     void closeIdleConnections();
 
     asio::io_context& context;
@@ -104,8 +105,12 @@
         }
         error_code error;
         const auto host = asio::ip::make_address(this->lane.address.host, error);
-        if (error)
-            return this->fail(CallStatus::NotSent, error.message());
+        if (error) {
+            // Deferred like every other end of a call.
+            asio::post(this->stream.get_executor(),
+                [self = this->shared_from_this(), error] { self->fail(CallStatus::NotSent, error.message()); });
+            return;
+        }
         this->startDeadline();
         this->stream.async_connect(tcp::endpoint(host, this->lane.address.port),
             [self = this->shared_from_this()](const error_code& connectError) { self->onConnect(connectError); });
@@ -248,16 +253,18 @@
 void AsyncHttpClient::Impl::dropExpiredCalls(Lane& lane, TimePoint now)
 {
     while (!lane.queuedCalls.empty() && lane.queuedCalls.front().deadline <= now) {
-        const auto handler = std::move(lane.queuedCalls.front().handler);
+        // Deferred, because callers do not expect the handler of another call while they make one.
+        asio::post(this->context, [handler = std::move(lane.queuedCalls.front().handler)] {
+            handler({ CallStatus::NotSent, {}, "no connection was free in time" });
+        });
         lane.queuedCalls.pop_front();
-        handler({ CallStatus::NotSent, {}, "no connection was free in time" });
     }
 }
 
 void AsyncHttpClient::Impl::startQueuedCalls(Lane& lane)
 {
     while (true) {
-        dropExpiredCalls(lane, this->clock.now());
+        this->dropExpiredCalls(lane, this->clock.now());
         if (lane.queuedCalls.empty())
             return;
         std::shared_ptr<Connection> connection;
--- a/test/io/async-http-client-test.cpp
+++ b/test/io/async-http-client-test.cpp
@@ -165,4 +165,25 @@
     EXPECT_EQ(std::ranges::count(results, CallStatus::NotSent, &CallResult::status), 2);
 }
 
+// Guards against a caller whose own state changes while it makes a call, because that call finds expired ones.
+TEST_F(AsyncHttpClientTest, callsDoNotEndWhileAnotherOneIsMade)
+{
+    std::vector<Respond> unanswered;
+    const auto server = this->serve([&](const HttpRequest&, const Respond& respond) { unanswered.push_back(respond); });
+    int ended = 0;
+    const auto countEnd = [&ended](const CallResult&) { ++ended; };
+    const auto makeCall = [&](const std::string& host, Duration timeout) {
+        this->client.call({ host, server->port() }, { "GET", "/x", {}, "" }, { timeout, 0, 1 }, countEnd);
+    };
+    makeCall("127.0.0.1", Duration(1'000));
+    makeCall("127.0.0.1", Duration(1));
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    makeCall("127.0.0.1", Duration(100));
+    EXPECT_EQ(ended, 0);
+    makeCall("not an address", Duration(100));
+    EXPECT_EQ(ended, 0);
+    while (ended < 4 && this->context.run_one() > 0) { }
+    EXPECT_EQ(ended, 4);
+}
+
 } // namespace waxwinglug::io
