Start tasks only while cancellations are known

Cause: the leader started tasks from its copy of the job table whatever its age.

Evidence: LeaderSessionTest.aLeaderThatMayNotKnowCancellationsStartsNothing failed before.

Why it works: while the store answers, nothing starts unless the feed was answered completely within the platform's limit for cancellations less 0.5 s, a new setting. Leases, stops and acknowledgements go on. While the store fails no cancellation can be confirmed, and the validity of the term bounds starts.

A job whose row is removed, or missing from a second full read, while a new leader loads is forgotten (found by the reviewer): its progress may be gone, and it would run again. No test of its own.

--- a/include/waxwinglug/settings.h
+++ b/include/waxwinglug/settings.h
@@ -70,6 +70,8 @@
     Duration minOrderInterval { 0 };
     // How long a machine is unavailable during maintenance.
     Duration maintenanceDuration { 0 };
+    // Time after a confirmed cancellation from which on no task of the job may start.
+    Duration cancellationLimit { 0 };
     // Moves and maintenance orders that the platform accepts in a second.
     double machineOrdersPerSecond = 0;
 };
--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -42,6 +42,8 @@
     // Part of the shutdown grace period that is reserved for ending the process.
     constexpr Duration exitReserve { 700 };
     constexpr Duration acquireTimeout { 800 };
+    // Part of the limit of cancellations that is reserved for the way of a start order to its server.
+    constexpr Duration startDelayReserve { 500 };
     // Upper bound of the random delay before a VM registers itself, and registers again after a failure.
     constexpr Duration maxRegistrationDelay { 1000 };
     // Limit per event. Each decision about a request or a task is logged, and a leader starts several hundred tasks a
@@ -333,6 +335,7 @@
         rules.endedJobRetention = this->settings.endedJobRetention + std::chrono::minutes(1);
         rules.lease = std::min(rules.lease, this->settings.maxServerLease);
         rules.maxLease = this->settings.maxServerLease;
+        rules.maxJobTableAge = this->settings.cancellationLimit - startDelayReserve;
         MachineMaintenanceRules maintenanceRules;
         if (this->leadership.hasPredecessorStopped())
             rules.assumeEarlierLeaderStopped();
--- a/src/io/process/leader-session-storage.cpp
+++ b/src/io/process/leader-session-storage.cpp
@@ -30,6 +30,15 @@
     return this->clock.now() - moment->requestedAt;
 }
 
+// While the store fails, cancellations cannot be confirmed either, and the validity of the term bounds the starts.
+bool LeaderSession::mayStartTasks() const
+{
+    if (this->hasEnded || !this->leadership.isValid())
+        return false;
+    const auto age = this->jobTableAge();
+    return !this->leadership.lastCommitSucceeded() || (age && *age <= this->maxJobTableAge);
+}
+
 std::optional<PendingCounts> LeaderSession::pendingCounts() const
 {
     const auto age = this->jobTableAge();
--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -40,6 +40,7 @@
     , leadership(nodeLeadership)
     , clock(source)
     , hooks(std::move(sessionHooks))
+    , maxJobTableAge(rules.maxJobTableAge)
     , relayedServers(std::make_shared<RelayedServers>(
           io, client, fleetPlatform.servers, std::move(relays), rules.fence, source, this->relayHooks()))
     , leadershipOffer(std::make_shared<LeadershipOffer>(client, source, rules.fence, this->offerHooks()))
@@ -110,7 +111,7 @@
                     this->scheduleDispatch();
                 }));
     };
-    scheduler.mayStart = [this] { return !this->hasEnded && this->leadership.isValid(); };
+    scheduler.mayStart = [this] { return this->mayStartTasks(); };
     scheduler.onSuperseded = [this] { this->end("a backend server has seen a higher fence"); };
     scheduler.log = this->hooks.log;
     return scheduler;
@@ -318,9 +319,15 @@
 
 void LeaderSession::onJobs(std::span<const StoredRow> rows, bool isFullRead)
 {
+    if (isFullRead && !this->hasLoaded) {
+        this->inheritedJobs.clear();
+        this->inheritedCancellations.clear();
+    }
     for (const auto& row : rows) {
         if (row.removed) {
             this->jobCompaction.removeRow(row.name.key);
+            // A job whose progress was removed with it would run again from its start.
+            this->inheritedJobs.erase(row.name.key);
             continue;
         }
         if (isCancellationKey(row.name.key)) {
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -70,6 +70,9 @@
     JobScheduler& scheduler() { return this->jobScheduler; }
     // The counts of this leader while it leads and knows all jobs of a recent moment.
     std::optional<PendingCounts> pendingCounts() const;
+    // False while another VM may have become the leader, and while cancellations may have been confirmed too long ago
+    // without being known here.
+    bool mayStartTasks() const;
     // Upper bounds of the age of this leader's copies of the tables; nothing before they have been read and applied.
     std::optional<Duration> jobTableAge() const { return this->ageOf(this->jobsMoment); }
     std::optional<Duration> serverTableAge() const { return this->ageOf(this->serversMoment); }
@@ -133,6 +136,7 @@
     Leadership& leadership;
     const Clock clock;
     const LeaderSessionHooks hooks;
+    const Duration maxJobTableAge;
     const std::shared_ptr<RelayedServers> relayedServers;
     const std::shared_ptr<LeadershipOffer> leadershipOffer;
     const ServerCalls servers;
--- a/test/io/leader-session-test.cpp
+++ b/test/io/leader-session-test.cpp
@@ -233,6 +233,33 @@
     EXPECT_FALSE(this->pendingQuotes());
 }
 
+// Guards against tasks that start after the cancellation of their job was confirmed, because the leader's feed of jobs
+// is behind while its transactions succeed.
+TEST_F(LeaderSessionTest, aLeaderThatMayNotKnowCancellationsStartsNothing)
+{
+    this->session->start();
+    ASSERT_TRUE(this->runUntil([this] { return this->session->mayStartTasks(); }));
+    this->silentTable = tables::jobs;
+    this->skip(Duration(1200));
+    EXPECT_TRUE(this->session->mayStartTasks());
+    this->skip(Duration(2400));
+    EXPECT_TRUE(this->leadership->isValid());
+    EXPECT_FALSE(this->session->mayStartTasks());
+}
+
+// Guards against a leader that stops all work while the store fails, when nobody can confirm a cancellation.
+TEST_F(LeaderSessionTest, aLeaderWithoutTheStoreStartsTasksForAWhile)
+{
+    this->session->start();
+    ASSERT_TRUE(this->runUntil([this] { return this->session->mayStartTasks(); }));
+    this->skipped += Duration(10);
+    this->leadership->commitFailed();
+    this->skipped += Duration(3500);
+    EXPECT_TRUE(this->session->mayStartTasks());
+    this->skipped += Duration(1600);
+    EXPECT_FALSE(this->session->mayStartTasks());
+}
+
 // Guards against counts that a leader tells right after it was suspended.
 TEST_F(LeaderSessionTest, aSuspendedLeaderTellsNoCount)
 {
