--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -52,8 +52,8 @@
     Duration startValidity { std::chrono::milliseconds(2500) };
     // Maximum time that a server may delay the answer to a lease renewal.
     Duration maxRenewWait { std::chrono::seconds(1) };
-    // Maximum age of the copy of the job table from which tasks are started while the store answers: a cancellation that
-    // is not known yet is at most this old.
+    // Maximum age of the copy of the job table from which tasks are started while the store answers: a cancellation
+    // that is not known yet is at most this old.
     Duration maxJobTableAge { 2500 };
     // Time from the start of this term during which the earlier leader may still start tasks: it continues for up to 5
     // s without the store.
