--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -6,7 +6,10 @@
 #include "io/process/leader-session.h"
 #include "io/process/leadership-offer.h"
 #include "io/process/log.h"
+#include "io/process/loop-monitor.h"
 #include "io/process/order-relay.h"
+#include "io/process/suspend-aware-clock.h"
+#include "io/process/table-ages.h"
 #include "io/process/table-follower.h"
 #include "io/process/tables.h"
 #include "job/leadership.h"
@@ -19,8 +22,9 @@
 
 #include <fmt/ranges.h>
 
+#include <array>
+#include <cmath>
 #include <csignal>
-#include <ctime>
 #include <random>
 #include <set>
 
@@ -43,24 +47,8 @@
     // Limit per event. Each decision about a request or a task is logged, and a leader starts several hundred tasks a
     // second. A line takes about 10 us of processor time.
     constexpr int maxLogLinesPerSecond = 400;
-    // A follow call without changes takes 0.5 s, and the next one begins after it; older copies are logged.
-    constexpr Duration maxUsualTableAge { 1500 };
     constexpr std::uint64_t defaultMaxBodyBytes = 256ULL * 1024;
 
-    // A clock that advances while the VM is suspended, which std::chrono::steady_clock does not. A leader that resumes
-    // after a suspension must detect that its leadership may have expired.
-    Clock suspendAwareClock()
-    {
-        auto clock = systemClock();
-        clock.now = [] {
-            timespec time {};
-            clock_gettime(CLOCK_BOOTTIME, &time);
-            const auto sinceBoot = std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
-            return TimePoint(std::chrono::duration_cast<Duration>(sinceBoot));
-        };
-        return clock;
-    }
-
     // Returns the metric name of a log event. The counter includes lines that the rate limit of the log drops.
     std::string counterName(std::string_view event)
     {
@@ -94,6 +82,8 @@
         , signals(this->context, SIGTERM, SIGINT, SIGHUP)
         , tickTimer(this->context)
         , registrationTimer(this->context)
+        , loopMonitor(this->context, this->clock, processProcessorTime,
+              [this](const LoopUsage& usage) { this->reportUsage(usage); })
         , storeAnsweredAt(this->clock.now())
     {
     }
@@ -106,6 +96,7 @@
         this->followLeadership();
         this->waitForSignal();
         this->tick();
+        this->loopMonitor.start();
         this->context.run();
         this->log.info("stops", { { "node", this->settings.name } });
     }
@@ -123,6 +114,7 @@
     {
         JobGatewayHooks hooks;
         hooks.activeConfig = [this] { return this->config; };
+        hooks.configAge = [this] { return this->clock.now() - this->configMoment.requestedAt; };
         hooks.pendingJobs = [this] { return this->session ? this->session->pendingCounts() : std::nullopt; };
         hooks.isStoreAvailable = [this] { return this->isStoreAvailable(); };
         hooks.knownStoreVersion
@@ -358,6 +350,7 @@
         for (const auto& [number, wave] : this->waves)
             this->session->addWave(wave);
         this->session->setEvacuatedDataCentres(this->evacuatedDataCentres);
+        this->lastWork = {};
         this->session->start();
     }
 
@@ -384,6 +377,38 @@
             this->session->releaseLeadership();
     }
 
+    // Sets the gauges of this VM's load; a VM that leads or relays logs them too.
+    void reportUsage(const LoopUsage& usage)
+    {
+        const auto processorShare
+            = static_cast<double>(usage.processorTime.count()) * 1000 / static_cast<double>(usage.interval.count());
+        this->metrics.setGauge("processor_millicores", "processor time used in the last second", processorShare);
+        this->metrics.setGauge("loop_lateness_ms", "largest lateness of a timer in the last second",
+            static_cast<double>(usage.maxLateness.count()));
+        const auto relayed
+            = this->relay->acceptedOrderCount() - std::exchange(this->relayedOrders, this->relay->acceptedOrderCount());
+        if (relayed > 0)
+            this->log.info("relay load",
+                { { "millicores", std::lround(processorShare) }, { "late_max_ms", usage.maxLateness.count() },
+                    { "late_mean_ms", usage.totalLateness.count() / usage.samples }, { "orders", relayed },
+                    { "open_orders", this->relay->openOrderCount() }, { "results", this->relay->heldResultCount() } });
+        if (!this->session || !this->session->isLoaded())
+            return;
+        const auto work = this->session->work();
+        const auto last = std::exchange(this->lastWork, work);
+        this->metrics.setGauge(
+            "unsaved_jobs", "jobs with changes that are not stored", static_cast<double>(work.unsavedJobs));
+        this->log.info("leader load",
+            { { "fence", this->leadership.fence() }, { "millicores", std::lround(processorShare) },
+                { "late_max_ms", usage.maxLateness.count() },
+                { "late_mean_ms", usage.totalLateness.count() / usage.samples },
+                { "starts", work.starts - last.starts }, { "reports", work.reports - last.reports },
+                { "jobs", work.jobsReceived - last.jobsReceived }, { "unanswered", work.unansweredOrders },
+                { "oldest_unsent_ms", work.oldestUnsentOrder.count() },
+                { "oldest_report_ms", work.oldestReport.count() }, { "unsaved", work.unsavedJobs },
+                { "commit_age_ms", work.commitAge.count() } });
+    }
+
     void tick()
     {
         this->tickTimer.expires_after(tickInterval);
@@ -404,27 +429,25 @@
         if (now - this->housekeepingAt >= std::chrono::seconds(1)) {
             this->housekeepingAt = now;
             this->httpClient.closeIdleConnections();
-            this->reportTableAges();
+            this->reportAges();
             this->log.reportDroppedLines();
         }
     }
 
-    void reportTableAges()
+    std::optional<Duration> ageOf(const TableMoment& moment) const
     {
-        const auto report = [this](std::string_view table, std::string_view gauge, std::optional<Duration> age) {
-            if (!age)
-                return;
-            this->metrics.setGauge(
-                gauge, "Age of this VM's copy of a table, in milliseconds.", static_cast<double>(age->count()));
-            if (*age > maxUsualTableAge)
-                this->log.info("copy of a table is old", { { "table", table }, { "age_ms", age->count() } });
-        };
-        const auto age = [this](const TableMoment& moment) { return this->clock.now() - moment.requestedAt; };
-        if (this->config)
-            report("configuration", "configuration_age_ms", age(this->configMoment));
-        report("lead", "leadership_age_ms", age(this->leadershipMoment));
-        report("job", "job_table_age_ms", this->session ? this->session->jobTableAge() : std::nullopt);
-        report("server", "server_table_age_ms", this->session ? this->session->serverTableAge() : std::nullopt);
+        return moment.version == 0 ? std::nullopt : std::optional(this->clock.now() - moment.requestedAt);
+    }
+
+    void reportAges()
+    {
+        const std::array<TableAge, 4> ages { {
+            { "configuration", "configuration_age_ms", this->ageOf(this->configMoment) },
+            { "lead", "leadership_age_ms", this->ageOf(this->leadershipMoment) },
+            { "job", "job_table_age_ms", this->session ? this->session->jobTableAge() : std::nullopt },
+            { "server", "server_table_age_ms", this->session ? this->session->serverTableAge() : std::nullopt },
+        } };
+        reportTableAges(ages, this->metrics, this->logHook());
     }
 
     const FleetNodeSettings settings;
@@ -441,6 +464,7 @@
     boost::asio::signal_set signals;
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer registrationTimer;
+    LoopMonitor loopMonitor;
     std::unique_ptr<CallerServer> callerServer;
     std::unique_ptr<CallerServer> healthServer;
     std::unique_ptr<CallerServer> operatorServer;
@@ -456,6 +480,8 @@
     TimePoint storeFailedAt;
     TimePoint housekeepingAt;
     TimePoint stopRequestedAt;
+    std::uint64_t relayedOrders = 0; // accepted until the latest report of usage
+    LeaderWork lastWork; // of this term, at the latest report of usage
     bool isStopping = false;
 };
 
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -2,6 +2,7 @@
 // one term.
 #pragma once
 
+#include "io/process/job-compaction.h"
 #include "io/process/leadership-offer.h"
 #include "io/process/relayed-servers.h"
 #include "io/process/table-follower.h"
@@ -38,6 +39,18 @@
     LogHook log;
 };
 
+// Work of the leader since its term began, and what waits now.
+struct LeaderWork {
+    std::uint64_t starts = 0;
+    std::uint64_t reports = 0;
+    std::uint64_t jobsReceived = 0;
+    std::size_t unansweredOrders = 0; // at the relays
+    Duration oldestUnsentOrder { 0 };
+    Duration oldestReport { 0 }; // of the servers that answer
+    std::size_t unsavedJobs = 0;
+    Duration commitAge { 0 }; // of the transaction in flight
+};
+
 class LeaderSession : public std::enable_shared_from_this<LeaderSession> {
 public:
     // `client` calls the relays, which `relays` selects.
@@ -60,6 +73,8 @@
     // Upper bounds of the age of this leader's copies of the tables; nothing before they have been read and applied.
     std::optional<Duration> jobTableAge() const { return this->ageOf(this->jobsMoment); }
     std::optional<Duration> serverTableAge() const { return this->ageOf(this->serversMoment); }
+    bool isLoaded() const { return this->hasLoaded; }
+    LeaderWork work() const;
     // Sends the orders and stores the records of changed jobs after a short delay, together with those of other events.
     void scheduleDispatch();
 
@@ -106,6 +121,7 @@
     void takeBatch(BoundedTransaction& transaction, Batch& batch);
     void handleRejectedCommit();
     void removeExpiredJobs();
+    void compactEndedJobs();
     void addSummary(BoundedTransaction& transaction);
     std::optional<Duration> ageOf(const std::optional<TableMoment>& moment) const;
     void onCommit(const TransactionResult& result, TimePoint sentAt, const Batch& batch);
@@ -121,6 +137,7 @@
     const std::shared_ptr<LeadershipOffer> leadershipOffer;
     const ServerCalls servers;
     JobScheduler jobScheduler;
+    JobCompaction jobCompaction;
     MachineList machineList;
     // Moves and maintenance have a gate each, so that neither keeps the other from ordering.
     OrderGate maintenanceGate;
@@ -170,6 +187,11 @@
     std::map<std::string, int> storedSummary; // pending jobs by queue
     TimePoint summaryWrittenAt; // TimePoint {}: the latest one failed
     TimePoint nextCommitAt; // earliest start of the next commit
+    TimePoint commitSentAt; // start of the latest commit
+    // Since the start of this term.
+    std::uint64_t startCount = 0;
+    std::uint64_t reportCount = 0;
+    std::uint64_t receivedJobCount = 0;
 };
 
 // Wraps a handler so that it does nothing after the session has ended.
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -85,8 +85,8 @@
     // Load the contents of the store. `inherited` jobs were stored before this term and may be running on some server.
     void addJob(JobSpec spec, bool inherited);
     void loadProgress(std::string_view job, std::string_view text, std::uint64_t rowVersion);
-    // Adds a job whose stored progress shows that it is completed; its specification is not needed any more.
-    void addCompletedJob(const std::string& job, std::uint64_t rowVersion);
+    // Adds a job whose stored rows show that it has ended; its specification is not needed any more.
+    void addEndedJob(const std::string& job, JobStatus finalState, std::uint64_t rowVersion);
     void cancelJob(std::string_view job);
     void addServer(ServerRecord record);
     // Adds a server that an earlier leader used, whether it is still registered or not.
@@ -115,6 +115,8 @@
     // `maxBytes` bounds the encoded size of the batch.
     std::vector<ProgressWrite> takeUnsavedProgress(
         std::size_t maxCount, std::size_t maxBytes = std::numeric_limits<std::size_t>::max());
+    // Jobs with changes that are in no batch yet.
+    std::size_t unsavedJobCount() const { return this->unsaved.size(); }
     void progressSaved(std::span<const ProgressWrite> batch, std::uint64_t rowVersion);
     void progressNotSaved(std::span<const ProgressWrite> batch);
     // Sets the actual version of a job's progress row after a write failed with a version conflict.
@@ -129,6 +131,13 @@
     void serverUseSaved(std::span<const ServerUseRecord> stored);
     void serverUseNotSaved(std::span<const ServerUseRecord> failed);
 
+    struct StoredEnd {
+        std::string job;
+        JobStatus finalState = JobStatus::Completed;
+    };
+    // Returns, once each, the jobs whose final state is stored and whose specification no later leader needs: none of
+    // their tasks runs, also not on a server that has not answered yet.
+    std::vector<StoredEnd> takeStoredEnds();
     // Removes jobs from memory whose retention time is over, and returns their ids so that their rows can be removed.
     std::vector<std::string> takeExpiredJobs(std::size_t maxCount);
     // Number of accepted jobs in each queue of which no task has started.
@@ -163,6 +172,8 @@
     // them.
     bool isPartitioned() const;
 
+    // Number of servers that were compared with the need of a task since the start of this term.
+    std::uint64_t examinedServerCount() const { return this->examinedServers; }
     const detail::ServerMap& servers() const { return this->serverMap; }
     const detail::JobTable& jobs() const { return this->jobTable; }
 
@@ -260,6 +271,9 @@
     std::vector<ActiveOccurrence> prioritizeOccurrences(
         const std::string& service, std::span<detail::Server* const> candidates) const;
     std::vector<ReadyStep> readySteps(const std::string& service, std::span<detail::Server* const> candidates);
+    // Returns true if no candidate of this dispatch has enough free capacity, as the choice for an earlier task showed.
+    bool isUnplaceable(const Resources& need) const;
+    void recordUnplaceable(const StepSpec& step);
     detail::Server* chooseServer(const ReadyStep& ready, const detail::Task& task,
         std::span<detail::Server* const> candidates, const std::map<const detail::Server*, Resources>& planned) const;
     bool isUsable(const detail::Server& server, TimePoint now) const;
@@ -299,6 +313,10 @@
     };
     std::map<std::tuple<std::string, std::string, std::string_view>, Wait> waits;
     TimePoint waitsLoggedAt;
+    // Needs that fit on no candidate of the current service. Free capacity only shrinks while a service is dispatched,
+    // so larger needs do not fit either.
+    std::vector<Resources> unplaceableNeeds;
+    mutable std::uint64_t examinedServers = 0;
     bool recordsWaits = false; // the current dispatch counts waiting tasks for the log
     // Upper bound of what each team may be running on servers that have not answered yet, computed by the latest
     // dispatch.
@@ -311,6 +329,8 @@
     // Sequence number of the oldest change in the batch that is being stored; 0: no batch is in flight.
     std::uint64_t inFlightSequence = 0;
     std::deque<detail::JobRecord*> endedJobs;
+    // Jobs whose final state is stored and was not returned yet. They may have been removed.
+    std::vector<std::string> storedEnds;
     // Work of recently arrived jobs, by service.
     struct Arrival {
         TimePoint at;
--- a/test/io/job-gateway-test.cpp
+++ b/test/io/job-gateway-test.cpp
@@ -3,6 +3,7 @@
 #include "io/process/job-gateway.h"
 
 #include "io/process/tables.h"
+#include "job/ended-job.h"
 #include "job/leadership.h"
 
 #include <gtest/gtest.h>
@@ -67,6 +68,7 @@
             };
             JobGatewayHooks hooks;
             hooks.activeConfig = [this] { return this->config; };
+            hooks.configAge = [] { return Duration(70); };
             hooks.pendingJobs = [this] { return this->leaderCounts; };
             hooks.isStoreAvailable = [] { return true; };
             hooks.knownStoreVersion = [this] { return this->knownVersion; };
@@ -154,7 +156,7 @@
         {
             while (!this->events.empty()) {
                 const auto next = std::ranges::min_element(this->events, {}, &Event::at);
-                const auto event = *next;
+                const auto event = std::move(*next);
                 this->events.erase(next);
                 this->clock.advance(std::max(event.at - this->clock.now(), Duration(0)));
                 event.run();
@@ -194,6 +196,21 @@
 
 } // namespace
 
+// Guards against a refusal that does not say how old the configuration is that it follows from.
+TEST_F(JobGatewayTest, refusalsByTheConfigurationLogItsAge)
+{
+    EXPECT_EQ(this->request("GET", "/other/").status, 404);
+    EXPECT_EQ(this->answerFields["source"], "configuration");
+    EXPECT_EQ(this->answerFields["age_ms"], "70");
+    this->config->teams.clear();
+    EXPECT_EQ(this->submit("a"), 401);
+    EXPECT_EQ(this->answerFields["age_ms"], "70");
+    this->config->queues[0].allowsAnonymous = true;
+    EXPECT_EQ(this->submit("a"), 200);
+    EXPECT_EQ(this->answerFields["source"], "store");
+    EXPECT_EQ(this->answerFields["age_ms"], "");
+}
+
 // Guards against a job that is stored twice or refused on its second submission.
 TEST_F(JobGatewayTest, aRepeatedSubmissionIsConfirmedAndStoredOnce)
 {
@@ -400,4 +417,19 @@
     }
 }
 
+// Guards against wrong answers about a job whose row was replaced after its end: with its progress row it is answered
+// as before, and it stays known without one.
+TEST_F(JobGatewayTest, aJobWhoseRowWasReplacedIsStillKnown)
+{
+    this->set(tables::jobRow("a"), encodeEndedJob(JobStatus::Failed));
+    const auto version = this->rows.at(tables::jobRow("a")).version;
+    EXPECT_EQ(this->request("GET", "/q/a").body, "failed");
+    EXPECT_EQ(this->submit("a"), 200);
+    EXPECT_EQ(this->request("DELETE", "/q/a").status, 200);
+    EXPECT_EQ(this->request("GET", "/q/a").body, "failed");
+    EXPECT_EQ(this->rows.at(tables::jobRow("a")).version, version);
+    this->setProgress("a", R"({"state":"failed","next":1,"open":[]})");
+    EXPECT_EQ(this->request("GET", "/q/a").body, "failed");
+}
+
 } // namespace waxwinglug::io
--- a/test/io/leader-session-test.cpp
+++ b/test/io/leader-session-test.cpp
@@ -1,6 +1,8 @@
 // What a leader tells and stores about pending jobs, and until when, over a simulated store.
 #include "io/process/leader-session.h"
 
+#include "job/ended-job.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
@@ -24,6 +26,7 @@
         std::uint64_t version = 1;
         std::vector<RowTransaction> transactions;
         std::string silentTable; // follow calls and lists of this table get no answer
+        int jobFeedAnswers = 0;
         bool changesMayBeCut = false;
         FleetPlatform platform;
         std::unique_ptr<Leadership> leadership;
@@ -104,6 +107,7 @@
                     if (name.table == table && row.version > after)
                         result.rows.push_back(row);
                 }
+                this->jobFeedAnswers += table == tables::jobs;
                 handler(result);
             });
         }
@@ -128,14 +132,20 @@
             return isDone();
         }
 
-        // Lets time pass in steps in which the leader renews its term.
+        // Lets time pass in steps in which the leader renews its term and the job feed answers a call of that step,
+        // unless a table is silent.
         void skip(Duration total)
         {
             for (Duration step { 400 }; total > Duration(0); total -= step) {
                 this->skipped += step;
-                const auto count = this->transactions.size();
-                EXPECT_TRUE(this->runUntil([&] { return this->transactions.size() > count; }));
-                this->context.run_one_for(Duration(20));
+                const auto commits = this->transactions.size();
+                const auto answers = this->jobFeedAnswers;
+                const auto end = std::chrono::steady_clock::now() + Duration(50);
+                EXPECT_TRUE(this->runUntil([&] {
+                    const bool hasFeedAnswered = this->silentTable.empty() ? this->jobFeedAnswers >= answers + 2
+                                                                           : std::chrono::steady_clock::now() > end;
+                    return this->transactions.size() > commits && hasFeedAnswered;
+                }));
             }
         }
 
@@ -255,4 +265,33 @@
     }
 }
 
+// Guards against a load that grows with all jobs of the past, when the predecessor was lost before it replaced the rows
+// of ended jobs, and against a replaced row whose job runs again, with or without its progress.
+TEST_F(LeaderSessionTest, jobsThatANewLeaderFindsEndedAreReplacedAndDoNotRun)
+{
+    this->submit("ended");
+    this->submit("pending");
+    RowTransaction earlier;
+    earlier.writes
+        = { { { tables::progress, Leadership::part, "ended" }, R"({"state":"completed","next":1,"open":[]})" },
+              { { tables::progress, Leadership::part, "replaced" }, R"({"state":"failed","next":1,"open":[]})" },
+              { tables::jobRow("replaced"), encodeEndedJob(JobStatus::Failed) },
+              { tables::jobRow("without-progress"), encodeEndedJob(JobStatus::Completed) } };
+    this->apply(earlier);
+    const auto pendingVersion = this->rows.at(tables::jobRow("pending")).version;
+    this->session->start();
+    ASSERT_TRUE(this->runUntil([this] { return this->pendingQuotes().has_value(); }));
+    EXPECT_EQ(this->pendingQuotes(), 1);
+    EXPECT_EQ(this->session->scheduler().jobStatus("replaced"), JobStatus::Failed);
+    EXPECT_EQ(this->session->scheduler().jobStatus("without-progress"), JobStatus::Completed);
+    this->skip(Duration(3600));
+    ASSERT_TRUE(this->runUntil(
+        [this] { return decodeEndedJob(this->rows.at(tables::jobRow("ended")).value) == JobStatus::Completed; }));
+    this->skip(Duration(800));
+    // A call of the feed that was sent before the skip proves only an old moment.
+    ASSERT_TRUE(this->runUntil([this] { return this->pendingQuotes().has_value(); }));
+    EXPECT_EQ(this->pendingQuotes(), 1);
+    EXPECT_EQ(this->rows.at(tables::jobRow("pending")).version, pendingVersion);
+}
+
 } // namespace waxwinglug::io
