--- a/src/io/process/leader-session-storage.cpp
+++ b/src/io/process/leader-session-storage.cpp
@@ -185,4 +185,37 @@
         this->handleRejectedCommit();
 }
 
+// The operator's rows are in another part than the leader's, so these writes cannot be conditional on leadership. They
+// are conditional on the row's version, so that a write that is carried out late cannot replace a later state.
+void LeaderSession::sendWaveReports()
+{
+    for (auto& [number, report] : this->waveReports) {
+        if (report.isSending || report.reportedState == (report.completed ? 2 : 1))
+            continue;
+        report.isSending = true;
+        RowTransaction transaction;
+        transaction.writes.push_back(this->platform.formats.encodeWaveStatus(report.wave, report.completed));
+        transaction.conditions.push_back({ transaction.writes.back().name, report.storedVersion });
+        this->platform.store.commit(std::move(transaction), commitTimeout,
+            this->guarded([this, &report, completed = report.completed](const TransactionResult& result) {
+                report.isSending = false;
+                if (result.status == CommitStatus::Committed) {
+                    report.reportedState = completed ? 2 : 1;
+                    report.storedVersion = result.version;
+                } else if (result.status == CommitStatus::Conflict) {
+                    report.storedVersion = result.conflicts.empty() ? 0 : result.conflicts.front().version;
+                }
+            }));
+    }
+}
+
+void LeaderSession::storePoolSizes()
+{
+    auto sizes = this->poolMover.initialSizes();
+    if (sizes == this->storedPoolSizes)
+        return;
+    this->maintenanceRows.set({ { tables::maintenance, Leadership::part, tables::poolSizesKey }, Json(sizes).dump() });
+    this->storedPoolSizes = std::move(sizes);
+}
+
 } // namespace waxwinglug::io
--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -1,8 +1,6 @@
-// Loads the rows of a new leader, sends orders and handles their answers.
+// Sends the orders of a leader and handles their answers.
 #include "io/process/leader-session.h"
 
-#include "job/ended-job.h"
-
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -22,12 +20,6 @@
     // data centres; if no other VM becomes the leader, this one does so after the heartbeat timeout.
     constexpr Duration partitionedCandidacyPause { 6000 };
     constexpr Duration relaySelectionInterval { 500 };
-    // How long a new leader waits for the first answers of its relays before it calls servers itself.
-    constexpr Duration maxRelayWait { 400 };
-    // Key of the row with the initial pool sizes in the maintenance table; the other keys are wave numbers.
-    constexpr const char* poolSizesKey = "pools";
-
-    bool isCancellationKey(std::string_view key) { return key.ends_with(tables::cancelSuffix); }
 
 } // namespace
 
@@ -181,39 +173,6 @@
         }));
 }
 
-// The operator's rows are in another part than the leader's, so these writes cannot be conditional on leadership. They
-// are conditional on the row's version, so that a write that is carried out late cannot replace a later state.
-void LeaderSession::sendWaveReports()
-{
-    for (auto& [number, report] : this->waveReports) {
-        if (report.isSending || report.reportedState == (report.completed ? 2 : 1))
-            continue;
-        report.isSending = true;
-        RowTransaction transaction;
-        transaction.writes.push_back(this->platform.formats.encodeWaveStatus(report.wave, report.completed));
-        transaction.conditions.push_back({ transaction.writes.back().name, report.storedVersion });
-        this->platform.store.commit(std::move(transaction), commitTimeout,
-            this->guarded([this, &report, completed = report.completed](const TransactionResult& result) {
-                report.isSending = false;
-                if (result.status == CommitStatus::Committed) {
-                    report.reportedState = completed ? 2 : 1;
-                    report.storedVersion = result.version;
-                } else if (result.status == CommitStatus::Conflict) {
-                    report.storedVersion = result.conflicts.empty() ? 0 : result.conflicts.front().version;
-                }
-            }));
-    }
-}
-
-void LeaderSession::storePoolSizes()
-{
-    auto sizes = this->poolMover.initialSizes();
-    if (sizes == this->storedPoolSizes)
-        return;
-    this->maintenanceRows.set({ { tables::maintenance, Leadership::part, poolSizesKey }, Json(sizes).dump() });
-    this->storedPoolSizes = std::move(sizes);
-}
-
 void LeaderSession::addWave(const MachineWave& wave)
 {
     this->waves[wave.number] = wave;
@@ -227,42 +186,6 @@
     this->scheduleDispatch();
 }
 
-void LeaderSession::start()
-{
-    this->startedAt = this->clock.now();
-    const auto follower = [this](auto apply, std::optional<TableMoment>* moment = nullptr) {
-        FollowerHooks follow;
-        follow.onCurrent = this->guarded([moment](const TableMoment& latest) {
-            if (moment)
-                *moment = latest;
-        });
-        follow.onFullRead = this->guarded([apply](std::span<const StoredRow> rows) { apply(rows, true); });
-        follow.onChanges = this->guarded([apply](std::span<const StoredRow> rows) { apply(rows, false); });
-        follow.onAnswer = follow.onNoAnswer = [] { /* the followers of FleetNode monitor the store */ };
-        follow.log = this->hooks.log;
-        follow.pageBudget = this->pageBudget;
-        return follow;
-    };
-    const auto minVersion = this->leadership.leaderCondition().version;
-    this->serverFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock),
-        this->platform.store, this->platform.formats.serverTable, std::vector<std::string> { "" }, minVersion,
-        follower([this](auto rows, bool isFullRead) { this->onServers(rows, isFullRead); }, &this->serversMoment));
-    this->jobFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock), this->platform.store,
-        tables::jobs, tables::allJobParts(), minVersion,
-        follower([this](auto rows, bool isFullRead) { this->onJobs(rows, isFullRead); }, &this->jobsMoment));
-    this->entryVmFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock),
-        this->platform.store, tables::entryVms, std::vector<std::string> { tables::entryVmPart }, 0,
-        follower([this](auto rows, bool isFullRead) { this->onEntryVms(rows, isFullRead); }));
-    this->entryVmFollower->start();
-    this->serverFollower->start();
-    this->jobFollower->start();
-    this->readOnce(tables::serverUse, &LeaderSession::onServersInUse);
-    this->readOnce(tables::maintenance, &LeaderSession::onMaintenance);
-    // An earlier leader cannot write any more, so the progress may be read before the jobs.
-    this->readOnce(tables::progress, &LeaderSession::onProgress);
-    this->tick();
-}
-
 void LeaderSession::setConfig(std::shared_ptr<const FleetConfig> config)
 {
     this->fleetConfig = config;
@@ -270,19 +193,6 @@
     this->scheduleDispatch();
 }
 
-void LeaderSession::onEntryVms(std::span<const StoredRow> rows, bool isFullRead)
-{
-    this->readEach(rows, "entry VM row cannot be read", [this](const StoredRow& row) {
-        if (row.removed)
-            return this->relayedServers->removeVm(row.name.key);
-        auto vm = fromJson<EntryVm>(row.value);
-        vm.name = row.name.key;
-        this->relayedServers->setVm(std::move(vm));
-    });
-    this->hasLoadedEntryVms = this->hasLoadedEntryVms || isFullRead;
-    this->finishLoading();
-}
-
 void LeaderSession::updateRelays()
 {
     this->relayedServers->failOverdueOrders();
@@ -292,211 +202,6 @@
     this->relayedServers->select(this->jobScheduler.servers().size());
 }
 
-void LeaderSession::onServers(std::span<const StoredRow> rows, bool isFullRead)
-{
-    std::set<std::string> present;
-    for (const auto& row : rows) {
-        auto server = this->platform.formats.decodeServer(row);
-        if (!server) {
-            if (!row.removed)
-                this->hooks.log("server row cannot be read", { { "key", row.name.key }, { "version", row.version } });
-            this->jobScheduler.removeServer(row.name.key);
-            continue;
-        }
-        present.insert(server->id);
-        this->jobScheduler.addServer(std::move(*server));
-    }
-    if (isFullRead) {
-        for (const auto& [id, server] : this->jobScheduler.servers()) {
-            if (!present.contains(id))
-                this->jobScheduler.removeServer(id);
-        }
-    }
-    this->hasLoadedServers = true;
-    this->finishLoading();
-    this->scheduleDispatch();
-}
-
-void LeaderSession::onJobs(std::span<const StoredRow> rows, bool isFullRead)
-{
-    if (isFullRead && !this->hasLoaded) {
-        this->inheritedJobs.clear();
-        this->inheritedCancellations.clear();
-    }
-    for (const auto& row : rows) {
-        if (row.removed) {
-            this->jobCompaction.removeRow(row.name.key);
-            // A job whose progress was removed with it would run again from its start.
-            this->inheritedJobs.erase(row.name.key);
-            continue;
-        }
-        if (isCancellationKey(row.name.key)) {
-            const auto job = row.name.key.substr(0, row.name.key.size() - tables::cancelSuffix.size());
-            // The progress rows, which are not loaded yet, may show that the job has already ended.
-            if (this->hasLoaded)
-                this->jobScheduler.cancelJob(job);
-            else
-                this->inheritedCancellations.insert(job);
-            continue;
-        }
-        if (this->hasLoaded)
-            this->addJob(row);
-        else
-            this->inheritedJobs.insert_or_assign(row.name.key, row);
-    }
-    if (isFullRead && !this->hasLoadedJobs) {
-        this->hasLoadedJobs = true;
-        this->finishLoading();
-    }
-    if (isFullRead && this->hasLoaded) {
-        for (const auto& row : rows) {
-            if (isCancellationKey(row.name.key))
-                this->jobScheduler.cancelJob(row.name.key.substr(0, row.name.key.size() - tables::cancelSuffix.size()));
-        }
-    }
-    this->scheduleDispatch();
-}
-
-// Calls `read` for each row. A row that cannot be decoded is logged with the given event, which is also the name of a
-// metric, and skipped.
-void LeaderSession::readEach(
-    std::span<const StoredRow> rows, std::string_view event, const std::function<void(const StoredRow&)>& read)
-{
-    for (const auto& row : rows) {
-        try {
-            read(row);
-        } catch (const Error& error) {
-            this->hooks.log(event, { { "key", row.name.key }, { "problem", error.what() } });
-        }
-    }
-}
-
-void LeaderSession::onProgress(std::span<const StoredRow> rows)
-{
-    this->inheritedProgress.assign(rows.begin(), rows.end());
-    this->hasLoadedProgress = true;
-    this->finishLoading();
-}
-
-void LeaderSession::addJob(const StoredRow& row)
-{
-    ++this->receivedJobCount;
-    // The progress of an ended job was stored before, so it is known.
-    if (decodeEndedJob(row.value))
-        return;
-    this->readEach({ &row, 1 }, "job row cannot be read", [this](const StoredRow& each) {
-        this->jobScheduler.addJob(fromJson<JobSpec>(each.value), !this->hasLoaded);
-        this->jobCompaction.addRow(each.name.key, each.version);
-    });
-}
-
-// Adds the jobs that were stored before this term, with their progress.
-void LeaderSession::loadJobs()
-{
-    std::vector<const StoredRow*> unfinished;
-    this->readEach(this->inheritedProgress, "progress row cannot be read", [&](const StoredRow& row) {
-        const auto job = this->inheritedJobs.find(row.name.key);
-        if (job == this->inheritedJobs.end())
-            return;
-        const auto finalState = decodeEndedJob(job->second.value);
-        if (finalState) {
-            this->jobScheduler.addEndedJob(row.name.key, *finalState, row.version);
-        } else if (detail::JobTable::isCompleted(row.value)) {
-            this->jobScheduler.addEndedJob(row.name.key, JobStatus::Completed, row.version);
-            this->jobCompaction.addRow(row.name.key, job->second.version);
-            this->jobCompaction.addEnd(row.name.key, JobStatus::Completed);
-        } else {
-            unfinished.push_back(&row);
-            return;
-        }
-        this->inheritedJobs.erase(job);
-    });
-    // The progress of an ended job may have been removed by an earlier leader, whose removal of the job's row failed.
-    std::erase_if(this->inheritedJobs, [this](const auto& job) {
-        const auto finalState = decodeEndedJob(job.second.value);
-        if (finalState)
-            this->jobScheduler.addEndedJob(job.first, *finalState, 0);
-        return finalState.has_value();
-    });
-    for (const auto& [id, row] : this->inheritedJobs)
-        this->addJob(row);
-    for (const auto* row : unfinished) {
-        this->readEach({ row, 1 }, "progress row cannot be read", [this](const StoredRow& each) {
-            this->jobScheduler.loadProgress(each.name.key, each.value, each.version);
-        });
-    }
-    this->inheritedJobs.clear();
-    this->inheritedProgress.clear();
-}
-
-void LeaderSession::onServersInUse(std::span<const StoredRow> rows)
-{
-    this->readEach(rows, "server in use cannot be read",
-        [this](const StoredRow& row) { this->jobScheduler.addServerInUse(fromJson<ServerRecord>(row.value)); });
-    this->hasLoadedServersInUse = true;
-    this->finishLoading();
-}
-
-void LeaderSession::onMaintenance(std::span<const StoredRow> rows)
-{
-    for (const auto& row : rows) {
-        const auto json = Json::parse(row.value, nullptr, false);
-        if (row.name.key == poolSizesKey && json.is_object())
-            this->poolMover.setInitialSizes(json.get<std::map<std::string, int>>());
-        else if (json.is_array())
-            this->maintainedMachines[row.name.key] = json.get<std::set<std::string>>();
-    }
-    this->hasLoadedMaintenance = true;
-    this->finishLoading();
-}
-
-// Reads a table once. Later changes are not needed, because only the leader writes these tables.
-void LeaderSession::readOnce(const char* table, void (LeaderSession::*apply)(std::span<const StoredRow>))
-{
-    FollowerHooks follow;
-    follow.onFullRead = this->guarded([this, apply](std::span<const StoredRow> rows) { (this->*apply)(rows); });
-    follow.onChanges = [](std::span<const StoredRow>) { /* this leader's own writes */ };
-    follow.onAnswer = follow.onNoAnswer = [] { /* the followers of FleetNode monitor the store */ };
-    follow.log = this->hooks.log;
-    follow.pageBudget = this->pageBudget;
-    this->initialReaders.push_back(std::make_unique<TableFollower>(followerTime(this->context, this->clock),
-        this->platform.store, table, std::vector<std::string> { Leadership::part },
-        this->leadership.leaderCondition().version, std::move(follow)));
-    this->initialReaders.back()->start();
-}
-
-void LeaderSession::finishLoading()
-{
-    if (this->hasLoaded || !this->hasLoadedServers || !this->hasLoadedJobs || !this->hasLoadedProgress
-        || !this->hasLoadedServersInUse || !this->hasLoadedMaintenance || !this->hasLoadedEntryVms)
-        return;
-    if (this->rowsLoadedAt == TimePoint {}) {
-        this->rowsLoadedAt = this->clock.now();
-        this->phases.rowsRead();
-        this->updateRelays();
-    }
-    if (!this->relayedServers->isReady() && this->clock.now() - this->rowsLoadedAt < maxRelayWait)
-        return; // tick() tries again
-    const auto decodingSince = this->clock.now();
-    this->loadJobs();
-    this->hasLoaded = true;
-    this->phases.loaded(this->jobScheduler.unansweredInheritedServers());
-    // Deferred, because a reader may be on the call stack.
-    boost::asio::post(this->context, this->guarded([this] { this->initialReaders.clear(); }));
-    for (const auto& job : this->inheritedCancellations)
-        this->jobScheduler.cancelJob(job);
-    for (const auto& [number, wave] : this->waves)
-        this->machineMaintenance.addWave(wave, this->maintainedMachines[std::to_string(number)]);
-    this->hooks.log("lead begins",
-        { { "fence", this->leadership.fence() }, { "jobs", this->jobScheduler.jobs().all().size() },
-            { "servers", this->jobScheduler.servers().size() },
-            { "rows_ms", (this->rowsLoadedAt - this->startedAt).count() },
-            { "relays_ms", (decodingSince - this->rowsLoadedAt).count() },
-            { "decode_ms", (this->clock.now() - decodingSince).count() } });
-    this->listMachines();
-    this->scheduleDispatch();
-}
-
 void LeaderSession::scheduleDispatch()
 {
     if (this->hasEnded || this->isDispatchScheduled || !this->hasLoaded)
--- a/src/io/process/tables.h
+++ b/src/io/process/tables.h
@@ -22,6 +22,8 @@
 inline constexpr const char* serverUse = "server-use";
 // Machines whose maintenance is completed, by wave, and the initial sizes of the pools.
 inline constexpr const char* maintenance = "upkeep";
+// Key of the row with the initial pool sizes in this table; the other keys are wave numbers.
+inline constexpr const char* poolSizesKey = "pools";
 // Entry VMs, each written by its own process after its start.
 inline constexpr const char* entryVms = "vm";
 inline constexpr const char* entryVmPart = "";
--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -208,8 +208,8 @@
         return entry.second.task->phase == TaskPhase::Unconfirmed
             || (entry.second.task->phase == TaskPhase::Stopping && entry.second.task->stopConfirmed);
     });
-    const bool waits = server.isReachable() && server.unacknowledgedEnds.empty();
-    if (waits)
+    const bool mayWait = server.isReachable() && server.unacknowledgedEnds.empty();
+    if (mayWait)
         order.maxWait = unclear ? Duration(100) : this->rules.maxRenewWait;
     server.renewing = true;
     this->hooks.renewLease(server.record, order);
--- a/test/io/job-gateway-test.cpp
+++ b/test/io/job-gateway-test.cpp
@@ -422,12 +422,12 @@
 TEST_F(JobGatewayTest, aJobWhoseRowWasReplacedIsStillKnown)
 {
     this->set(tables::jobRow("a"), encodeEndedJob(JobStatus::Failed));
-    const auto version = this->rows.at(tables::jobRow("a")).version;
+    const auto rowVersion = this->rows.at(tables::jobRow("a")).version;
     EXPECT_EQ(this->request("GET", "/q/a").body, "failed");
     EXPECT_EQ(this->submit("a"), 200);
     EXPECT_EQ(this->request("DELETE", "/q/a").status, 200);
     EXPECT_EQ(this->request("GET", "/q/a").body, "failed");
-    EXPECT_EQ(this->rows.at(tables::jobRow("a")).version, version);
+    EXPECT_EQ(this->rows.at(tables::jobRow("a")).version, rowVersion);
     this->setProgress("a", R"({"state":"failed","next":1,"open":[]})");
     EXPECT_EQ(this->request("GET", "/q/a").body, "failed");
 }
--- a/test/job/scheduler-test.cpp
+++ b/test/job/scheduler-test.cpp
@@ -160,10 +160,10 @@
     this->scheduler->progressNotSaved(batch);
     EXPECT_TRUE(this->scheduler->takeStoredEnds().empty());
     this->storeAll();
-    const auto ends = this->scheduler->takeStoredEnds();
-    ASSERT_EQ(ends.size(), 1U);
-    EXPECT_EQ(ends[0].job, "j");
-    EXPECT_EQ(ends[0].finalState, JobStatus::Completed);
+    const auto storedEnds = this->scheduler->takeStoredEnds();
+    ASSERT_EQ(storedEnds.size(), 1U);
+    EXPECT_EQ(storedEnds[0].job, "j");
+    EXPECT_EQ(storedEnds[0].finalState, JobStatus::Completed);
     EXPECT_TRUE(this->scheduler->takeStoredEnds().empty());
 }
 
