--- a/src/job/order-gate.h
+++ b/src/job/order-gate.h
@@ -1,9 +1,8 @@
 // Limits how many orders for machines are sent to the platform.
 //
 // The platform accepts a limited number of such orders a second from all VMs together and refuses the others. Orders
-// that are repeated without regard to refusals use up that number, so that hardly any order is accepted. The gate works
-// like the congestion window of TCP: it widens with each accepted order and is halved when orders are refused or not
-// answered.
+// that are repeated without regard to refusals would use up that number. The gate works like the congestion window of
+// TCP: it widens with each accepted order and is halved when orders are refused or not answered.
 #pragma once
 
 #include <waxwinglug/base.h>
