--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -4,8 +4,10 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -21,13 +23,18 @@
 
 
 def free_ports(count):
-    import socket
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Free ports below the range from which the kernel takes those of outgoing connections, so that a process that was
+    stopped finds its port free when it starts again."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(15000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -42,7 +49,7 @@
         self.is_dark = False  # nothing that arrives now is answered
 
     async def listen(self, port=0):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, backlog=512)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port or free_ports(1)[0], backlog=512)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def close(self):
@@ -79,7 +86,7 @@
                 writer.write((f"HTTP/1.1 {status} {STATUS.get(status, 'Status')}\r\nContent-Type: application/json\r\n"
                               f"Content-Length: {len(data)}\r\n\r\n").encode() + data)
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
@@ -261,6 +268,9 @@
         self.fence, self.lease = 0, 0
         self.runs, self.highest, self.finished = {}, {}, []
         self.next_end = 1
+        self.seq = 0
+        self.lapsed_at = 0.0  # when the lease was last seen expired
+        self.ended_at = {}  # number of an end: when it was listed
         self.acked = 0
         self.ended = asyncio.Event()
 
@@ -275,7 +285,11 @@
         return json.dumps({"service": self.service, "addr": f"127.0.0.1:{self.port}", "zone": self.zone,
                            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
                            "capacity": self.capacity, "labels": ["a", self.rack], "host_id": self.host,
-                           "born": self.born, "clock_ms": self.clock(), "seq": 1}).encode()
+                           "born": self.born, "clock_ms": self.clock(), "seq": self.next_seq()}).encode()
+
+    def next_seq(self):
+        self.seq += 1
+        return self.seq
 
     def register(self):
         self.world.store.put("servers", "", self.name, self.row())
@@ -283,6 +297,8 @@
     def tick(self):
         now = self.clock()
         lapsed = now > self.lease
+        if lapsed:
+            self.lapsed_at = self.world.time()
         for run in list(self.runs.values()):
             if lapsed:
                 self.end(run, "lapsed")
@@ -293,9 +309,11 @@
                 self.end(run, "done")
 
     def end(self, run, how):
-        del self.runs[run.task]
+        if self.runs.pop(run.task, None) is None:
+            return
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.number)
         self.finished.append([self.next_end, run.task, run.number, how, run.checkpoint if how != "done" else ""])
+        self.ended_at[self.next_end] = self.world.time()
         self.next_end += 1
         self.world.note("end", self.name, run.task, run.number, how)
         self.world.on_end(self, run, how)
@@ -341,7 +359,8 @@
             self.end(present, "stopped")
         run = Run(task, number, call.get("spec", ""), call.get("checkpointed", ""))
         self.runs[task] = run
-        self.world.note("start", self.name, task, number, f"fence={fence}")
+        self.world.note("start", self.name, task, number,
+                        f"fence={fence}" + (f" checkpointed={run.checkpoint}" if run.checkpoint else ""))
         self.world.on_start(self, run)
         return 200, {"clock_ms": self.clock()}
 
@@ -362,8 +381,9 @@
         if acked > self.acked:
             self.acked = acked
             for each in self.finished:
-                if each[0] <= acked:
-                    self.world.on_ack(each[1], each[2], each[3])
+                # A lease that expired between the two means that the end does not count as taken note of.
+                if each[0] <= acked and self.lapsed_at < self.ended_at[each[0]]:
+                    self.world.on_ack(self, each)
             self.finished = [each for each in self.finished if each[0] > acked]
         wait = min(call.get("wait_ms", 0), 2000)
         if wait and not self.finished:
@@ -378,6 +398,11 @@
             running.append([run.task, run.number, run.checkpoint, run.percent(), 100])
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": running, "finished": self.finished[:500]}
 
+    def cut_off(self):
+        """Nothing reaches the executor until `is_dark` is reset, and open connections stay silent. It works on."""
+        self.is_dark = True
+        self.silent = set(self.writers)
+
     async def lose_power(self, down_s, register_s):
         """The machine goes dark: open connections stay silent, nothing is answered for `down_s`. Then it starts again
         under its id, serves, and writes its entry `register_s` later."""
@@ -395,19 +420,6 @@
         self.register()
         self.world.note("entry", self.name, "", 0, "")
 
-    async def crash(self, down_s):
-        """The process is killed and starts again under its id and its address."""
-        port = self.port
-        for task, run in self.runs.items():
-            self.world.open_runs[task].discard((self.name, run.number))
-        self.world.note("crash", self.name, "", 0, f"down {down_s} s")
-        self.runs = {}
-        await self.close()
-        await asyncio.sleep(down_s)
-        self.begin()
-        await self.listen(port)
-        self.register()
-
 
 class Scheduler:
     """One process of the deploy file."""
@@ -462,6 +474,9 @@
 class World:
     """A small deployment: the store, the machine service, executors and three schedulers, and what was seen."""
 
+    # Interval at which the executors write their entries again; 0: only at their start.
+    heartbeat_ms = 0
+
     def __init__(self, record):
         self.began = time.monotonic()
         self.record = open(record, "w", encoding="utf-8")
@@ -474,6 +489,10 @@
         self.done = {}  # task: time of the first end `done`
         self.noted = {}  # task: time at which an end `done` was taken note of
         self.starts = {}  # job: number of starts
+        self.last_started = None
+        self.start_times = {}  # task: times of its starts
+        self.repeated = set()  # tasks that were started again after a noted end
+        self.acked_at = 0.0
         self.ends = 0
         self.acked_ends = 0
         self.violations = []
@@ -485,12 +504,15 @@
         self.record.write(f"{self.time():8.3f} {what} {where} {task} {number} {text}\n")
 
     def on_start(self, executor, run):
+        self.last_started = executor
         others = self.open_runs.setdefault(run.task, set())
+        self.start_times.setdefault(run.task, []).append(self.time())
         job = run.task.split(".")[0]
         self.starts[job] = self.starts.get(job, 0) + 1
         if others:
             self.violation(f"TWICE {run.task} run {run.number} on {executor.name} while {sorted(others)} runs")
         if run.task in self.noted:
+            self.repeated.add(run.task)
             self.violation(f"TWICE {run.task} run {run.number} on {executor.name} after a noted end `done`")
         others.add((executor.name, run.number))
 
@@ -500,10 +522,25 @@
         if how == "done":
             self.done.setdefault(run.task, self.time())
 
-    def on_ack(self, task, number, how):
+    def on_ack(self, executor, end):
+        number, task, _, how = end[:4]
         self.acked_ends += 1
-        if how == "done":
-            self.noted.setdefault(task, self.time())
+        self.acked_at = self.time()
+        if how != "done":
+            return
+        self.noted.setdefault(task, self.time())
+        ended = executor.ended_at[number]
+        if any(start > ended for start in self.start_times.get(task, ())) and task not in self.repeated:
+            self.repeated.add(task)
+            self.violation(f"TWICE {task} was started again after its end `done` at {ended:.3f} on {executor.name}, "
+                           "which is taken note of now")
+
+    def unnoted_share(self, calm_s):
+        """Share of the ends that were listed longer than `calm_s` ago and are not taken note of."""
+        limit = self.time() - calm_s
+        old = sum(1 for each in self.executors for listed in each.ended_at.values() if listed < limit)
+        waiting = sum(1 for each in self.executors for end in each.finished if each.ended_at[end[0]] < limit)
+        return waiting / max(old, 1), waiting, old
 
     def violation(self, text):
         self.violations.append(text)
@@ -542,7 +579,12 @@
         self.ticker = asyncio.create_task(self.run_ticks())
 
     async def run_ticks(self):
+        beat_at = now_ms()
         while True:
+            if self.heartbeat_ms and now_ms() >= beat_at:
+                beat_at += self.heartbeat_ms
+                for executor in self.executors:
+                    executor.register()
             for executor in self.executors:
                 executor.tick()
             await asyncio.sleep(0.02)
