--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -210,7 +210,7 @@
 
 
 class Cloud(HttpServer):
-    """The list of machines. Orders for machines are refused: no wave is due and no pool is on standby."""
+    """The list of machines, and upkeep. Moves are refused: no pool is on standby."""
 
     def __init__(self, executors):
         super().__init__()
@@ -220,6 +220,16 @@
         await asyncio.sleep(0.004)
         if target.startswith("/-/machines"):
             return 200, {"machines": [each.machine() for each in self.executors], "next_token": None}
+        if target == "/-/machine-upkeep":
+            host = json.loads(body)["host_id"]
+            executor = next((each for each in self.executors if each.host == host), None)
+            if executor is None:
+                return 400, {}
+            if executor.state != "up":
+                return 409, {"reason": "busy"}
+            executor.state = "upkeep"
+            asyncio.create_task(executor.upkeep())
+            return 200, {}
         return 409, {"reason": "busy"}
 
 
@@ -233,6 +243,7 @@
         if "count" in options and step == "0" and int(index) < int(options["count"]):
             self.work = int(options["first"]) + int(options["each"]) * int(index)
         self.saves = options.get("saves") == "1"
+        self.lasts = options.get("lasts") == "1"
         self.began = now_ms()
         self.before = int(checkpoint, 16) if checkpoint else 0
         self.stop_at = None
@@ -241,6 +252,8 @@
         return self.before + now_ms() - self.began
 
     def percent(self):
+        if self.lasts:
+            return 100 if self.done_ms() >= 300 else 0  # at work after a short startup
         return min(100, self.done_ms() * 100 // max(self.work, 1))
 
     def save(self, period):
@@ -260,6 +273,8 @@
         self.world, self.name, self.service, self.zone, self.rack = world, name, service, zone, rack
         self.capacity = {"cpu": cpu, "mem_mb": mem, "gpu": 0}
         self.host = "m-" + name
+        self.kind = "a"
+        self.state = "up"
         self.begin()
 
     def begin(self):
@@ -278,13 +293,14 @@
         return now_ms() - self.start
 
     def machine(self):
-        return {"host_id": self.host, "pool": self.service, "state": "up", "zone": self.zone,
-                "labels": ["a", self.rack], "capacity": self.capacity, "id": self.name}
+        return {"host_id": self.host, "pool": self.service, "state": self.state, "zone": self.zone,
+                "labels": [self.kind, self.rack], "capacity": self.capacity,
+                "id": self.name if self.state == "up" else ""}
 
     def row(self):
         return json.dumps({"service": self.service, "addr": f"127.0.0.1:{self.port}", "zone": self.zone,
                            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-                           "capacity": self.capacity, "labels": ["a", self.rack], "host_id": self.host,
+                           "capacity": self.capacity, "labels": [self.kind, self.rack], "host_id": self.host,
                            "born": self.born, "clock_ms": self.clock(), "seq": self.next_seq()}).encode()
 
     def next_seq(self):
@@ -305,7 +321,7 @@
             elif run.stop_at is not None and now >= run.stop_at:
                 run.save(self.checkpoint_ms)
                 self.end(run, "stopped")
-            elif run.done_ms() >= run.work:
+            elif not run.lasts and run.done_ms() >= run.work:
                 self.end(run, "done")
 
     def end(self, run, how):
@@ -398,6 +414,22 @@
             running.append([run.task, run.number, run.checkpoint, run.percent(), 100])
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": running, "finished": self.finished[:500]}
 
+    async def upkeep(self):
+        """All that runs ends; after `maintenance_s` (2 s) a new executor is on the machine."""
+        self.world.note("upkeep", self.name, self.host, 0, "")
+        port = self.port
+        for task, run in self.runs.items():
+            self.world.open_runs[task].discard((self.name, run.number))
+        self.runs = {}
+        await self.close()
+        self.world.store.remove("servers", "", self.name)
+        await asyncio.sleep(2)
+        self.name += "n"
+        self.begin()
+        await self.listen(port)
+        self.state = "up"
+        self.register()
+
     def cut_off(self):
         """Nothing reaches the executor until `is_dark` is reset, and open connections stay silent. It works on."""
         self.is_dark = True
@@ -476,6 +508,7 @@
 
     # Interval at which the executors write their entries again; 0: only at their start.
     heartbeat_ms = 0
+    kinds = {}  # service: the kind of each executor, where it is not "a"
 
     def __init__(self, record):
         self.began = time.monotonic()
@@ -570,6 +603,8 @@
         for service, number in services.items():
             for index in range(number):
                 executor = Executor(self, f"i-{service}-{index}", service, f"zone-{index % 3}", f"r{index % 2}-{service}")
+                if service in self.kinds:
+                    executor.kind = self.kinds[service][index]
                 await executor.listen()
                 executor.register()
                 self.executors.append(executor)
@@ -584,7 +619,8 @@
             if self.heartbeat_ms and now_ms() >= beat_at:
                 beat_at += self.heartbeat_ms
                 for executor in self.executors:
-                    executor.register()
+                    if executor.state == "up":
+                        executor.register()
             for executor in self.executors:
                 executor.tick()
             await asyncio.sleep(0.02)
