Ask a server that starts again which runs it has

Cause: an answer to a start does not name the incarnation that gave it. The scheduler took it for an answer of the incarnation that it knew, and ended the run when it read the row of the next one. The same belief was used for machine lists, and an address that another server had taken ended the runs of an incarnation that was elsewhere.

Change: a run is ended with an incarnation only if that incarnation has listed it. A row only prompts a renewal; the report of the server names the incarnation. Runs whose start was only answered are asked for.

--- a/src/job/job-table.h
+++ b/src/job/job-table.h
@@ -26,6 +26,13 @@
     Failed,
 };
 
+// What is known of the incarnation of a server that has a run.
+enum class RunEvidence {
+    None, // the start was not answered
+    Answer, // the start was answered; the answer does not name the incarnation
+    Report, // the present incarnation of the server has listed the run
+};
+
 struct Task {
     TaskPhase phase = TaskPhase::Waiting;
     // Number of the latest run. Increases with each start, also across leader changes.
@@ -40,8 +47,7 @@
     // When the latest order was confirmed or became unconfirmed. A report that was requested earlier may not reflect
     // the order yet.
     TimePoint confirmedAt;
-    // The server has confirmed that it carried out the start.
-    bool startConfirmed = false;
+    RunEvidence evidence = RunEvidence::None;
     TimePoint stopSentAt;
     // The server has confirmed the latest stop order.
     bool stopConfirmed = false;
--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -8,6 +8,7 @@
 using detail::JobRecord;
 using detail::Occurrence;
 using detail::Run;
+using detail::RunEvidence;
 using detail::Server;
 using detail::Task;
 using detail::TaskPhase;
@@ -60,7 +61,7 @@
     task.progressPercent = 0;
     task.progressChangedAt = now;
     task.speedPercent = 100;
-    task.startConfirmed = false;
+    task.evidence = RunEvidence::None;
     task.stopConfirmed = false;
     const auto reserved = reservedResources(job.spec.steps[step]);
     this->teamAllocations[job.spec.team] += job.spec.steps[step].taskResources;
@@ -93,7 +94,7 @@
     auto& step = job.activeOccurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
     if (status == OrderStatus::Accepted) {
         setPhase(step, task, TaskPhase::Running);
-        task.startConfirmed = true;
+        task.evidence = RunEvidence::Answer;
         task.confirmedAt = now;
         if (job.state == JobStatus::Pending) {
             job.state = JobStatus::Running;
@@ -116,7 +117,7 @@
     this->releaseRun(server, run);
     task.notBefore = now + refusedStartDelay;
     if (status == OrderStatus::OtherIncarnation)
-        this->endIncarnation(server, "another server has its address");
+        this->handleReusedAddress(server, task.startedAt);
 }
 
 void JobScheduler::requestStop(Server& server, const TaskId& id, Run& run, std::string_view reason)
@@ -146,10 +147,6 @@
     auto& server = *place->second;
     if (status == OrderStatus::FenceTooLow)
         this->reportSuperseded(server);
-    if (status == OrderStatus::OtherIncarnation) {
-        this->endIncarnation(server, "another server has its address");
-        return;
-    }
     const auto run = server.runs.find(id);
     if (run == server.runs.end() || run->second.number != runNumber || status != OrderStatus::Accepted)
         return;
@@ -196,7 +193,7 @@
     order.fence = this->rules.fence;
     // Each incarnation numbers its ends from 1. An unresponsive server may have restarted and would apply an
     // acknowledgement meant for its earlier incarnation to its own ends.
-    order.lastStoredEnd = server.missedRenewals > 0 ? 0 : server.lastStoredEnd;
+    order.lastStoredEnd = server.isReachable() ? server.lastStoredEnd : 0;
     // The lease of an unresponsive server is not renewed: its tasks could otherwise never be started elsewhere.
     if (server.isReachable()) {
         const auto until = server.clockAt(this->clock.now()) + this->rules.lease.count();
@@ -212,6 +209,7 @@
     if (mayWait)
         order.maxWait = unclear ? Duration(100) : this->rules.maxRenewWait;
     server.renewing = true;
+    server.renewalSentAt = this->clock.now();
     this->hooks.renewLease(server.record, order);
 }
 
@@ -222,11 +220,14 @@
     if (place == this->serverMap.end())
         return;
     auto& server = *place->second;
+    if (sentAt < server.renewalSentAt)
+        return; // the row of a later incarnation was read meanwhile, and another renewal was sent
     const auto now = this->clock.now();
     server.renewing = false;
     if (status != OrderStatus::Accepted) {
         if (server.missedRenewals == 0 && !server.inherited)
             server.unresponsiveSince = now;
+        server.missedRenewalSentAt = sentAt;
         if (server.missedRenewals++ == 0)
             this->hooks.log("backend server does not answer",
                 { { "server", serverId }, { "status", orderStatusName(status) }, { "runs", server.runs.size() },
@@ -235,22 +236,18 @@
         if (status == OrderStatus::FenceTooLow)
             this->reportSuperseded(server);
         if (status == OrderStatus::OtherIncarnation)
-            this->endIncarnation(server, "another server has its address");
+            this->handleReusedAddress(server, sentAt);
         return;
     }
-    if (report.startedAt && *report.startedAt < server.record.startedAt) {
-        // A delayed answer of an earlier incarnation.
+    if (!this->acceptIncarnation(server, sentAt, report)) {
         this->scheduleRenewal(server, now);
         return;
     }
-    if (report.startedAt && *report.startedAt > server.record.startedAt) {
-        this->beginIncarnation(server);
-        server.record.startedAt = *report.startedAt;
-    }
     if (server.missedRenewals > 0 && server.fenceConfirmed)
         this->hooks.log(
             "backend server answers again", { { "server", serverId }, { "missed", server.missedRenewals } });
-    if (!server.fenceConfirmed && server.incarnationSeenAt != TimePoint {})
+    // Orders to the incarnation that has ended may still arrive.
+    if (server.leaseUntil == 0 && server.incarnationSeenAt != TimePoint {})
         server.leaseUntil = report.clock + maxOrderDelay.count() + this->rules.maxLease.count();
     server.fenceConfirmed = true;
     server.inherited = false;
@@ -261,13 +258,46 @@
     for (const auto& ended : report.ended)
         this->applyEnd(server, ended);
     for (const auto& running : report.running)
-        this->applyRunning(server, running, sentAt);
+        this->applyRunning(server, running, sentAt, report.startedAt.has_value());
     this->applyMissingRuns(server, sentAt, report);
     this->adjustThrottles(server);
     this->acknowledgeStoredEnds(server, this->storedSequence());
     this->scheduleRenewal(server, server.unacknowledgedEnds.empty() ? now : now + unstoredEndsRenewDelay);
 }
 
+// Decides which incarnation has sent a report, and ends what belonged to an earlier one. Returns false for a delayed
+// report of an earlier incarnation, which says nothing about the present one.
+bool JobScheduler::acceptIncarnation(Server& server, TimePoint sentAt, const RenewReport& report)
+{
+    const bool isRequestedBefore = sentAt <= server.incarnationSeenAt;
+    if (!report.startedAt && !server.fenceConfirmed && isRequestedBefore)
+        return false;
+    const auto startedAt = report.startedAt.value_or(server.record.startedAt);
+    if (server.answeredIncarnation && startedAt < *server.answeredIncarnation)
+        return false;
+    if (startedAt < server.record.startedAt) {
+        if (isRequestedBefore)
+            return false;
+        // An incarnation whose successor had written this row could not have answered.
+        this->hooks.log("server row names a start that the server denies", { { "server", server.record.id } });
+    }
+    if (server.answeredIncarnation && startedAt > *server.answeredIncarnation)
+        this->beginIncarnation(server);
+    server.record.startedAt = startedAt;
+    server.answeredIncarnation = startedAt;
+    server.answeredAddress = server.record.address;
+    return true;
+}
+
+// Another server has answered at the address of this one. That ends the incarnation that was there when the order was
+// sent; a later one may be elsewhere.
+void JobScheduler::handleReusedAddress(Server& server, TimePoint sentAt)
+{
+    const bool isKnownThere = !server.answeredIncarnation || server.answeredAddress == server.record.address;
+    if (isKnownThere && sentAt > server.incarnationSeenAt)
+        this->endIncarnation(server, "another server has its address");
+}
+
 void JobScheduler::reportSuperseded(const Server& server)
 {
     this->hooks.log(
--- a/src/job/reports.cpp
+++ b/src/job/reports.cpp
@@ -11,6 +11,7 @@
 
 using detail::JobRecord;
 using detail::Run;
+using detail::RunEvidence;
 using detail::Server;
 using detail::Task;
 using detail::TaskPhase;
@@ -165,22 +166,23 @@
         this->finishJob(job, JobStatus::Failed, "a task failed too often");
 }
 
-void JobScheduler::applyRunning(Server& server, const RunningTask& running, TimePoint sentAt)
+void JobScheduler::applyRunning(Server& server, const RunningTask& running, TimePoint sentAt, bool namesIncarnation)
 {
+    const auto evidence = namesIncarnation ? RunEvidence::Report : RunEvidence::Answer;
     const auto place = server.runs.find(running.task);
     if (place == server.runs.end() || place->second.number != running.run) {
         if (place == server.runs.end())
-            this->adoptRun(server, running);
+            this->adoptRun(server, running, evidence);
         return;
     }
     auto& run = place->second;
     auto& task = *run.task;
+    task.evidence = std::max(task.evidence, evidence);
     if (!running.checkpoint.empty())
         task.checkpoint = running.checkpoint;
     run.latencyMs = running.load;
     if (task.phase == TaskPhase::Starting || task.phase == TaskPhase::Unconfirmed) {
         setPhase(run.progress(), task, TaskPhase::Running);
-        task.startConfirmed = true;
         task.confirmedAt = this->clock.now();
         if (run.job->state == JobStatus::Pending) {
             run.job->state = JobStatus::Running;
@@ -192,7 +194,7 @@
 }
 
 // Takes over a run that an earlier leader started, or stops a run that no job needs.
-void JobScheduler::adoptRun(Server& server, const RunningTask& running)
+void JobScheduler::adoptRun(Server& server, const RunningTask& running, RunEvidence evidence)
 {
     auto* job = this->jobTable.find(running.task.job);
     auto* task = job ? job->find(running.task) : nullptr;
@@ -211,7 +213,7 @@
     task->run = running.run;
     task->server = &server;
     task->startedAt = now;
-    task->startConfirmed = true;
+    task->evidence = evidence;
     task->confirmedAt = now;
     task->progressPercent = running.progressPercent;
     task->progressChangedAt = now;
@@ -357,33 +359,54 @@
     this->resetIncarnation(server);
 }
 
-// Ends the runs that the server has confirmed, because they ended with the incarnation. An unanswered start may still
-// reach a later incarnation under the same id, so it stays unconfirmed.
-void JobScheduler::endConfirmedRuns(Server& server)
+// Ends the runs that belonged to the incarnation that has ended. All others may be in a later incarnation under the
+// same id: an answer to a start does not name the incarnation, and an unanswered start may still arrive there. They
+// stay unconfirmed until a report lists them or a stop is confirmed.
+void JobScheduler::endRunsOfIncarnation(Server& server, const std::function<bool(const Task&)>& hasEnded)
 {
     for (auto run = server.runs.begin(); run != server.runs.end();) {
         const auto current = run++;
         auto& task = *current->second.task;
-        if (task.startConfirmed) {
+        if (hasEnded(task)) {
             this->endRun(server, current, RunEnd::LeaseExpired, false);
             continue;
         }
-        if (task.phase == TaskPhase::Starting)
+        if (task.phase == TaskPhase::Starting || task.phase == TaskPhase::Running) {
             setPhase(current->second.progress(), task, TaskPhase::Unconfirmed);
+            if (task.evidence == RunEvidence::None)
+                task.confirmedAt = this->clock.now();
+            this->hooks.log("incarnation of a run is in doubt",
+                { { "job", current->first.job }, { "task", taskText(current->first) },
+                    { "run", current->second.number }, { "server", server.record.id },
+                    { "answered", task.evidence != RunEvidence::None } });
+        }
         task.stopConfirmed = false;
-        task.confirmedAt = this->clock.now();
     }
 }
 
-// Handles a restart of the server under the same id. The new incarnation has no state of the earlier one.
+// The server's row names a later start than the server itself. Only the server can say which incarnation exists, so it
+// is asked at once, and gets no tasks before it has answered.
+void JobScheduler::expectIncarnation(Server& server)
+{
+    this->hooks.log(
+        "backend server may have started again", { { "server", server.record.id }, { "runs", server.runs.size() } });
+    server.fenceConfirmed = false;
+    // The new incarnation has not seen a fence, so delayed orders of an earlier leader may still be carried out there.
+    server.inherited = true;
+    server.incarnationSeenAt = this->clock.now();
+    server.unresponsiveSince = this->clock.now();
+    // A renewal in flight may wait for the earlier incarnation.
+    server.renewing = false;
+    this->scheduleRenewal(server, this->clock.now());
+}
+
+// Handles a report of a later incarnation, which has no state of the earlier one.
 void JobScheduler::beginIncarnation(Server& server)
 {
-    this->endConfirmedRuns(server);
+    this->endRunsOfIncarnation(server, [](const Task& task) { return task.evidence == RunEvidence::Report; });
     this->hooks.log("backend server has started again",
         { { "server", server.record.id }, { "doubtful_runs", server.runs.size() } });
     this->resetIncarnation(server);
-    // The new incarnation has not seen a fence, so delayed orders of an earlier leader may still be carried out there.
-    server.inherited = true;
 }
 
 void JobScheduler::resetIncarnation(Server& server)
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -232,6 +232,8 @@
     void scheduleRenewal(detail::Server& server, TimePoint at);
     void sendDueRenewals();
     void resendStops();
+    bool acceptIncarnation(detail::Server& server, TimePoint sentAt, const RenewReport& report);
+    void handleReusedAddress(detail::Server& server, TimePoint sentAt);
     void reportSuperseded(const detail::Server& server);
     // Returns one run number for the next start of these tasks, higher than all their earlier ones. Tasks of a gang
     // share it.
@@ -239,19 +241,20 @@
 
     // reports.cpp
     void applyEnd(detail::Server& server, const EndedRun& ended);
-    void applyRunning(detail::Server& server, const RunningTask& running, TimePoint sentAt);
+    void applyRunning(detail::Server& server, const RunningTask& running, TimePoint sentAt, bool namesIncarnation);
     void applyMissingRuns(detail::Server& server, TimePoint sentAt, const RenewReport& report);
     void addOrphan(detail::Server& server, const RunningTask& running, const detail::JobRecord* job);
     void dropOrphans(detail::Server& server, const std::function<bool(const TaskId&, int run)>& ended);
-    void adoptRun(detail::Server& server, const RunningTask& running);
+    void adoptRun(detail::Server& server, const RunningTask& running, detail::RunEvidence evidence);
     void releaseRun(detail::Server& server, std::map<TaskId, detail::Run>::iterator run);
     void endRun(detail::Server& server, std::map<TaskId, detail::Run>::iterator run, RunEnd end, bool reported);
     void applyUnknownEnd(detail::JobRecord& job, detail::Task& task, const EndedRun& ended);
     void completeTask(detail::JobRecord& job, const TaskId& id, detail::Task& task);
     void recordTaskFailure(detail::JobRecord& job, const TaskId& id, detail::Task& task, int run);
     void completeOccurrence(detail::JobRecord& job, int occurrence);
+    void expectIncarnation(detail::Server& server);
     void beginIncarnation(detail::Server& server);
-    void endConfirmedRuns(detail::Server& server);
+    void endRunsOfIncarnation(detail::Server& server, const std::function<bool(const detail::Task&)>& hasEnded);
     void endIncarnation(detail::Server& server, std::string_view reason);
     void resetIncarnation(detail::Server& server);
     void abandonRuns(detail::Server& server, std::string_view reason);
--- a/src/job/server-table.h
+++ b/src/job/server-table.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -66,14 +67,21 @@
     bool useRecorded = false;
     // The server has accepted this leader's fence, so it refuses orders of every earlier leader.
     bool fenceConfirmed = false;
+    // Start of the incarnation that answered last. Nothing: the server has not answered this leader yet.
+    std::optional<WallTime> answeredIncarnation;
+    // Where that incarnation answered.
+    Endpoint answeredAddress;
     bool renewing = false; // a lease renewal is in flight
+    TimePoint renewalSentAt; // when the latest renewal was sent; answers to earlier ones are ignored
     int missedRenewals = 0; // consecutive, since the last answer
+    TimePoint missedRenewalSentAt; // when the latest unanswered renewal was sent
     TimePoint unresponsiveSince; // time of the first missed renewal; for an inherited server, the start of the term
     TimePoint nextRenewalAt;
     // Order in which servers became known; breaks ties between renewals that are due at the same time.
     std::uint64_t serial = 0;
     bool isInUnstoredList = false; // listed as a server with unacknowledged ends
-    TimePoint incarnationSeenAt; // when this leader noticed that the incarnation started, if it did
+    // When this leader noticed that another incarnation may have started, or that the last one has ended.
+    TimePoint incarnationSeenAt;
     TimePoint lastReportAt; // when the last report arrived
     ServerClock reportClock = 0;
     // Latest possible end of any lease, on the server's clock.
--- a/src/job/servers.cpp
+++ b/src/job/servers.cpp
@@ -5,7 +5,9 @@
 
 namespace waxwinglug {
 
+using detail::RunEvidence;
 using detail::Server;
+using detail::Task;
 
 namespace {
 
@@ -61,14 +63,15 @@
         this->hooks.log("backend server listed",
             { { "server", record.id }, { "service", record.service }, { "machine", record.machine },
                 { "rack", record.rack } });
-    } else if (record.startedAt < server.record.startedAt) {
+    } else if (record.startedAt < server.record.startedAt && record.startedAt != server.answeredIncarnation) {
         return; // a row of an earlier incarnation
-    } else if (record.startedAt > server.record.startedAt) {
-        this->beginIncarnation(server);
     }
+    const bool mayHaveRestarted = !isNew && record.startedAt > server.record.startedAt;
     if (record.draining && !server.record.draining)
         this->hooks.log("backend server drains", { { "server", record.id } });
     this->updateRecord(server, std::move(record));
+    if (mayHaveRestarted)
+        this->expectIncarnation(server);
     server.registered = true;
     this->mayLackUseRecords = true;
     const auto& added = server.record;
@@ -175,14 +178,21 @@
     }
 }
 
-// The server may start again under the same id.
+// The server may start again under the same id, and may have done so before the list was made. A run whose start was
+// answered ended with the machine if the server has left a later renewal unanswered.
 void JobScheduler::handleCrash(Server& server)
 {
-    if (!server.fenceConfirmed && !server.inherited)
-        return; // already handled
-    this->hooks.log("backend server has crashed with its machine",
-        { { "server", server.record.id }, { "runs", server.runs.size() } });
-    this->endConfirmedRuns(server);
+    const auto hasEnded = [&server](const Task& task) {
+        return task.evidence == RunEvidence::Report
+            || (task.evidence == RunEvidence::Answer && server.missedRenewalSentAt > task.confirmedAt);
+    };
+    const bool isKnown = !server.fenceConfirmed && !server.inherited;
+    if (!isKnown)
+        this->hooks.log("backend server has crashed with its machine",
+            { { "server", server.record.id }, { "runs", server.runs.size() } });
+    this->endRunsOfIncarnation(server, hasEnded);
+    if (isKnown)
+        return;
     this->resetIncarnation(server);
     this->removedServers.push_back(server.record.id);
 }
--- a/test/job/scheduler-property-test.cpp
+++ b/test/job/scheduler-property-test.cpp
@@ -31,25 +31,46 @@
         return faults;
     }
 
+    WorldFaults restartFaults()
+    {
+        WorldFaults faults;
+        faults.lostRequests = 5;
+        faults.lostAnswers = 10;
+        faults.delayedCalls = 5;
+        faults.leaderCrashes = 20;
+        faults.serverRestarts = 100;
+        faults.serverPartitions = 20;
+        return faults;
+    }
+
     std::string firstViolation(const SchedulingWorld& world)
     {
         return world.violations().empty() ? std::string() : world.violations().front();
     }
 
+    void checkWorld(std::uint32_t seed, const WorldFaults& faults)
+    {
+        SchedulingWorld world(seed, faults);
+        world.run(seconds(30));
+        world.runWithoutFaults(recoveryTime);
+        if (!world.violations().empty())
+            RC_FAIL(firstViolation(world));
+        RC_ASSERT(world.startedRuns() > 0);
+        // No accepted job is lost: each one reaches a final state once the faults have ended.
+        RC_ASSERT(world.unfinishedJobs() == 0);
+    }
+
 } // namespace
 
 // Guards against a task that runs twice, exceeded limits of servers and teams, steps that start before their
 // dependencies, and starts after an acknowledged end, while calls are lost or delayed and processes pause or crash.
-RC_GTEST_PROP(JobScheduler, keepsInvariantsUnderFailures, (std::uint32_t seed))
+RC_GTEST_PROP(JobScheduler, keepsInvariantsUnderFailures, (std::uint32_t seed)) { checkWorld(seed, allFaults()); }
+
+// Guards against a second run of a task whose server has started again: starts are answered by the new incarnation
+// before its row is read, and beside lost and delayed calls, unresponsive servers and new leaders.
+RC_GTEST_PROP(JobScheduler, keepsInvariantsWhenServersStartAgain, (std::uint32_t seed))
 {
-    SchedulingWorld world(seed, allFaults());
-    world.run(seconds(30));
-    world.runWithoutFaults(recoveryTime);
-    if (!world.violations().empty())
-        RC_FAIL(firstViolation(world));
-    RC_ASSERT(world.startedRuns() > 0);
-    // No accepted job is lost: each one reaches a final state once the faults have ended.
-    RC_ASSERT(world.unfinishedJobs() == 0);
+    checkWorld(seed, restartFaults());
 }
 
 class KnownSeed : public testing::TestWithParam<std::uint32_t> { };
--- a/test/job/scheduler-test.cpp
+++ b/test/job/scheduler-test.cpp
@@ -17,6 +17,7 @@
         int supersededCalls = 0;
         std::unique_ptr<JobScheduler> scheduler;
         std::map<std::string, std::uint64_t> ends; // last end number of each server
+        std::map<std::string, WallTime> incarnations; // start that each server names in its reports and rows
 
         void SetUp() override { this->begin(1); }
 
@@ -53,6 +54,8 @@
             server.service = "press";
             server.capacity = { 4000, 4000, 0 };
             server.machine = machine.empty() ? "machine-" + id : machine;
+            if (const auto incarnation = this->incarnations.find(id); incarnation != this->incarnations.end())
+                server.startedAt = incarnation->second;
             return server;
         }
 
@@ -72,6 +75,8 @@
             report.clock = this->clock.now().time_since_epoch().count();
             report.running = std::move(running);
             report.ended = std::move(ended);
+            if (const auto incarnation = this->incarnations.find(id); incarnation != this->incarnations.end())
+                report.startedAt = incarnation->second;
             this->scheduler->renewAnswered(id, this->clock.now(), OrderStatus::Accepted, report);
             this->scheduler->tick();
         }
@@ -604,6 +609,167 @@
     EXPECT_EQ(this->starts.size(), 1U);
 }
 
+// Guards against two runs of a task when a new incarnation has answered the start before its row is read.
+TEST_F(SchedulerTest, runOfAnIncarnationWithoutARowIsNotStartedAgain)
+{
+    this->clock.advance(Duration(10'000)); // nothing waits for an earlier leader any more
+    this->incarnations["a"] = WallTime(Duration(1000));
+    this->addServer("a");
+    this->addServer("b");
+    this->scheduler->addJob(this->job("j", this->step(1)), false);
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 1U);
+    ASSERT_EQ(this->starts[0].first, "a");
+    this->confirmStarts();
+    this->incarnations["a"] = WallTime(Duration(2000));
+    this->clock.advance(Duration(400));
+    this->scheduler->addServer(this->record("a"));
+    this->scheduler->tick();
+    EXPECT_EQ(this->starts.size(), 1U);
+    this->clock.advance(Duration(10));
+    this->answerRenewal("a", { { this->starts[0].second.task, this->starts[0].second.run, "", 10, 0 } }, {});
+    EXPECT_EQ(this->starts.size(), 1U);
+    EXPECT_TRUE(this->stops.empty());
+}
+
+// Guards against the same when the report of the new incarnation was made before the start and is overtaken by its
+// answer.
+TEST_F(SchedulerTest, startAnsweredBeforeAnOlderReportOfANewIncarnationIsNotRepeated)
+{
+    this->clock.advance(Duration(10'000)); // nothing waits for an earlier leader any more
+    this->incarnations["a"] = WallTime(Duration(1000));
+    this->addServer("a");
+    this->addServer("b");
+    this->clock.advance(Duration(100));
+    const auto requestedAt = this->clock.now();
+    this->scheduler->tick();
+    this->scheduler->addJob(this->job("j", this->step(1)), false);
+    this->clock.advance(Duration(100));
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 1U);
+    this->confirmStarts();
+    RenewReport report;
+    report.startedAt = WallTime(Duration(2000));
+    this->scheduler->renewAnswered("a", requestedAt, OrderStatus::Accepted, report);
+    this->scheduler->tick();
+    EXPECT_EQ(this->starts.size(), 1U);
+}
+
+// Guards against work that waits after a restart: runs that the earlier incarnation has listed start elsewhere as soon
+// as the server names its new start, and one that only answered its start after a stop is confirmed.
+TEST_F(SchedulerTest, runsOfAnEndedIncarnationStartAgainOnceTheServerNamesALaterStart)
+{
+    this->incarnations["a"] = WallTime(Duration(1000));
+    this->addServer("a");
+    this->scheduler->addJob(this->job("j", this->step(1)), false);
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 1U);
+    this->confirmStarts();
+    this->clock.advance(Duration(10));
+    this->answerRenewal("a", { { this->starts[0].second.task, this->starts[0].second.run, "", 10, 0 } }, {});
+    this->scheduler->addJob(this->job("k", this->step(1)), false);
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 2U);
+    const auto second = this->starts[1].second;
+    this->scheduler->startAnswered("a", second.task, second.run, OrderStatus::Accepted);
+    this->clock.advance(Duration(10));
+    this->incarnations["a"] = WallTime(Duration(2000));
+    this->answerRenewal("a", {}, {});
+    this->clock.advance(Duration(10));
+    this->answerRenewal("a", {}, {});
+    this->scheduler->serverUseSaved(this->scheduler->takeServerUseChanges(10));
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 3U);
+    EXPECT_EQ(this->starts[2].second.task.job, "j");
+    ASSERT_EQ(this->stops.size(), 1U);
+    this->scheduler->stopAnswered("a", second.task, second.run, OrderStatus::Accepted);
+    this->clock.advance(Duration(10));
+    this->answerRenewal("a", { { this->starts[2].second.task, this->starts[2].second.run, "", 1, 0 } }, {});
+    ASSERT_EQ(this->starts.size(), 4U);
+    EXPECT_EQ(this->starts[3].second.task.job, "k");
+}
+
+// Guards against two runs after a row with a start that its server denies: the server has not started again.
+TEST_F(SchedulerTest, rowWithALaterStartThanTheServerNamesEndsNoRun)
+{
+    this->clock.advance(Duration(10'000)); // nothing waits for an earlier leader any more
+    this->incarnations["a"] = WallTime(Duration(1000));
+    this->addServer("a");
+    this->addServer("b");
+    this->scheduler->addJob(this->job("j", this->step(1)), false);
+    this->scheduler->tick();
+    this->confirmStarts();
+    const RunningTask running { this->starts.at(0).second.task, this->starts[0].second.run, "", 10, 0 };
+    this->clock.advance(Duration(10));
+    this->answerRenewal("a", { running }, {});
+    auto odd = this->record("a");
+    odd.startedAt = WallTime(Duration::max());
+    this->scheduler->addServer(odd);
+    this->scheduler->tick();
+    this->clock.advance(Duration(10));
+    this->answerRenewal("a", { running }, {});
+    this->clock.advance(Duration(10));
+    this->answerRenewal("a", { running }, {});
+    EXPECT_EQ(this->starts.size(), 1U);
+    EXPECT_TRUE(this->stops.empty());
+    EXPECT_TRUE(this->scheduler->servers().at("a")->isReachable());
+}
+
+// Guards against two runs when a list of machines that was made while a machine was down arrives after its new server
+// has answered a start.
+TEST_F(SchedulerTest, listOfMachinesEndsNoRunThatWasAnsweredAfterTheUnansweredRenewal)
+{
+    this->clock.advance(Duration(10'000)); // nothing waits for an earlier leader any more
+    this->incarnations["a"] = WallTime(Duration(1000));
+    this->addServer("a");
+    this->addServer("b");
+    const auto requestedAt = this->clock.now();
+    this->clock.advance(Duration(500));
+    this->scheduler->addJob(this->job("j", this->step(1)), false);
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 1U);
+    this->confirmStarts();
+    this->clock.advance(Duration(10));
+    this->scheduler->renewAnswered("a", requestedAt, OrderStatus::Unknown, {});
+    const std::vector<MachineRecord> down { { "machine-a", "press", MachineState::Down, "", {} } };
+    this->scheduler->updateMachines(down, this->clock.now());
+    this->scheduler->tick();
+    EXPECT_EQ(this->starts.size(), 1U);
+    this->clock.advance(Duration(300));
+    this->scheduler->tick();
+    this->scheduler->renewAnswered("a", this->clock.now(), OrderStatus::Unknown, {});
+    this->scheduler->updateMachines(down, this->clock.now());
+    this->scheduler->tick();
+    EXPECT_EQ(this->starts.size(), 2U) << "the server has left a renewal unanswered that was sent after the answer";
+}
+
+// Guards against two runs when an answer from an address that the server had before arrives late.
+TEST_F(SchedulerTest, lateAnswerFromAnEarlierAddressEndsNoRun)
+{
+    this->clock.advance(Duration(10'000)); // nothing waits for an earlier leader any more
+    this->incarnations["a"] = WallTime(Duration(1000));
+    this->addServer("a");
+    this->addServer("b");
+    const auto sentAt = this->clock.now();
+    this->clock.advance(Duration(100));
+    this->incarnations["a"] = WallTime(Duration(2000));
+    auto moved = this->record("a");
+    moved.address.port = 9;
+    this->scheduler->addServer(moved);
+    this->clock.advance(Duration(100));
+    this->answerRenewal("a", {}, {});
+    this->scheduler->serverUseSaved(this->scheduler->takeServerUseChanges(10));
+    this->scheduler->addJob(this->job("j", this->step(1)), false);
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 1U);
+    ASSERT_EQ(this->starts[0].first, "a");
+    this->confirmStarts();
+    this->scheduler->renewAnswered("a", sentAt, OrderStatus::OtherIncarnation, {});
+    this->scheduler->stopAnswered("a", { "other", 0, 0, 0 }, 1, OrderStatus::OtherIncarnation);
+    this->scheduler->tick();
+    EXPECT_EQ(this->starts.size(), 1U);
+}
+
 // Load: the leader is lost while many servers are unresponsive. Guards against teams that wait for seconds because
 // unresponsive servers may run tasks of other teams.
 TEST_F(SchedulerTest, unknownRunsCountOnlyForTeamsThatMayHaveThem)
--- a/test/job/scheduling-leaders.cpp
+++ b/test/job/scheduling-leaders.cpp
@@ -13,6 +13,8 @@
     constexpr Duration leadershipValidity { 1300 };
     constexpr Duration maxTimeWithoutStore { 5000 };
     constexpr Duration tickInterval { 50 };
+    constexpr Duration machineListInterval { 300 };
+    constexpr const char* service = "press";
     constexpr std::size_t rowsPerCommit = 40;
 
 } // namespace
@@ -49,8 +51,8 @@
     for (const auto& [id, server] : this->servers) {
         if (!server.isRegistered(now))
             continue;
-        scheduler.addServer(server.record);
-        leader.knownServers[id] = server.record.startedAt;
+        scheduler.addServer(server.row);
+        leader.knownServers[id] = server.row.startedAt;
     }
     for (const auto& [id, job] : this->jobs) {
         if (job.endedState)
@@ -173,12 +175,13 @@
             if (!server.isRegistered(now)) {
                 scheduler.removeServer(id);
                 leader->knownServers.erase(id);
-            } else if (known == leader->knownServers.end() || known->second != server.record.startedAt) {
-                leader->knownServers[id] = server.record.startedAt;
-                scheduler.addServer(server.record);
+            } else if (known == leader->knownServers.end() || known->second != server.row.startedAt) {
+                leader->knownServers[id] = server.row.startedAt;
+                scheduler.addServer(server.row);
             }
         }
     }
+    this->listMachines(leader);
     if (now - leader->confirmedAt < maxTimeWithoutStore) {
         if (now - leader->tickAt >= tickInterval) {
             leader->tickAt = now;
@@ -191,6 +194,22 @@
     this->store(leader);
 }
 
+void SchedulingWorld::listMachines(const std::shared_ptr<Leader>& leader)
+{
+    const auto now = this->manual.now();
+    if (now - leader->machinesListedAt < machineListInterval || !leader->scheduler->waitsForUnresponsiveServer())
+        return;
+    leader->machinesListedAt = now;
+    std::vector<MachineRecord> machines;
+    for (const auto& [id, server] : this->servers)
+        machines.push_back({ server.record.machine, service, server.isDark(now) ? MachineState::Down : MachineState::Up,
+            server.isDark(now) ? "" : id, server.record.capacity });
+    this->at(now + Duration(this->pick(1, 1000)), [leader, now, machines = std::move(machines)] {
+        if (!leader->dead && leader->pausedUntil <= now)
+            leader->scheduler->updateMachines(machines, now);
+    });
+}
+
 void SchedulingWorld::store(const std::shared_ptr<Leader>& leader)
 {
     const auto now = this->manual.now();
--- a/test/job/scheduling-world.cpp
+++ b/test/job/scheduling-world.cpp
@@ -71,6 +71,7 @@
         server.record.startedAt = this->clock.wallNow();
         server.clockRate = this->pick(980, 1000);
         server.bootedAt = this->manual.now();
+        server.row = server.record;
         this->servers.emplace(server.record.id, std::move(server));
     }
 }
@@ -176,16 +177,10 @@
             server.partitionedUntil = soon(500, 12'000);
             server.partitionedFromStore = this->pick(0, 1) == 1;
         }
-        if (!happens(this->faults.serverCrashes))
-            continue;
-        server.running.clear();
-        server.ended.clear();
-        server.lastEndedRuns.clear();
-        server.fence = 0;
-        server.leaseUntil = 0;
-        server.lastEndNumber = server.lastAcknowledgedEnd = server.lastEndBeforeExpiry = 0;
-        server.bootedAt = now;
-        server.record.startedAt = this->clock.wallNow();
+        if (happens(this->faults.serverCrashes))
+            this->restartServer(server, Duration(0), Duration(0));
+        else if (!server.isDark(now) && happens(this->faults.serverRestarts))
+            this->restartServer(server, Duration(this->pick(50, 1500)), Duration(this->pick(0, 1500)));
     }
     if (happens(this->faults.cancellations) && !this->jobs.empty()) {
         auto job = std::next(this->jobs.begin(), this->pick(0, static_cast<int>(this->jobs.size()) - 1));
@@ -193,6 +188,27 @@
     }
 }
 
+void SchedulingWorld::restartServer(FakeServer& server, Duration darkTime, Duration registrationDelay)
+{
+    server.running.clear();
+    server.ended.clear();
+    server.lastEndedRuns.clear();
+    server.fence = 0;
+    server.leaseUntil = 0;
+    server.lastEndNumber = server.lastAcknowledgedEnd = server.lastEndBeforeExpiry = 0;
+    server.darkUntil = server.bootedAt = this->manual.now() + darkTime;
+    server.record.startedAt = this->clock.wallNow() + darkTime;
+    const auto write = [this, id = server.record.id, startedAt = server.record.startedAt] {
+        auto& registering = this->servers.at(id);
+        if (registering.record.startedAt == startedAt)
+            registering.row = registering.record;
+    };
+    if (darkTime + registrationDelay == Duration(0))
+        write();
+    else
+        this->at(this->manual.now() + darkTime + registrationDelay, write);
+}
+
 void SchedulingWorld::endRun(FakeServer& server, const TaskId& id, RunEnd end)
 {
     const auto run = server.running.at(id);
@@ -244,15 +260,21 @@
         return;
     const auto delay = late ? Duration(this->pick(2000, 12'000)) : Duration(this->pick(1, 20));
     const auto bootedAt = server.bootedAt;
-    this->at(now + delay, [this, id, bootedAt, late, lostAnswer, toLeader, execute = std::move(execute)] {
-        auto& reached = this->servers.at(id);
-        // A delayed order does not survive a crash of its server.
-        if (late && reached.bootedAt != bootedAt)
-            return;
-        auto answer = execute(reached);
-        if (!lostAnswer)
-            toLeader(Duration(this->pick(1, 20)), std::move(answer));
-    });
+    this->at(
+        now + delay, [this, id, bootedAt, late, lostAnswer, toLeader, delay, onNoAnswer, execute = std::move(execute)] {
+            auto& reached = this->servers.at(id);
+            // A delayed order does not survive a crash of its server.
+            if (late && reached.bootedAt != bootedAt)
+                return;
+            if (reached.isDark(this->manual.now())) {
+                if (!lostAnswer)
+                    toLeader(callTimeout - delay, [onNoAnswer] { onNoAnswer(OrderStatus::Unknown); });
+                return;
+            }
+            auto answer = execute(reached);
+            if (!lostAnswer)
+                toLeader(Duration(this->pick(1, 20)), std::move(answer));
+        });
 }
 
 OrderStatus SchedulingWorld::start(FakeServer& server, const StartOrder& order)
--- a/test/job/scheduling-world.h
+++ b/test/job/scheduling-world.h
@@ -32,6 +32,7 @@
     int leaderServerPartitions = 0;
     int leaderStorePartitions = 0;
     int serverCrashes = 0;
+    int serverRestarts = 0; // dark for a while, then a new incarnation, whose row follows later
     int serverPartitions = 0; // from every leader
     int cancellations = 0;
 };
@@ -47,6 +48,8 @@
     };
 
     ServerRecord record;
+    // Its row in the store. A new incarnation answers before it has written its row.
+    ServerRecord row;
     // Rate of the server's clock, in thousandths. The clock starts at bootedAt.
     int clockRate = 1000;
     TimePoint bootedAt;
@@ -62,6 +65,9 @@
     TimePoint partitionedUntil;
     // The server cannot reach the store either, so its row expires.
     bool partitionedFromStore = false;
+    TimePoint darkUntil; // nothing runs on its machine before
+
+    bool isDark(TimePoint now) const { return now < this->darkUntil; }
 
     bool isRegistered(TimePoint now) const;
     ServerClock clockAt(TimePoint now) const { return (now - this->bootedAt).count() * this->clockRate / 1000; }
@@ -95,6 +101,7 @@
         TimePoint partitionedFromServersUntil;
         TimePoint partitionedFromStoreUntil;
         std::map<std::string, WallTime> knownServers; // start of the incarnation that the leader knows
+        TimePoint machinesListedAt;
         bool storing = false;
         bool dead = false;
     };
@@ -116,6 +123,9 @@
     int pick(int minValue, int maxValue);
     void step();
     void injectFaults();
+    void restartServer(FakeServer& server, Duration darkTime, Duration registrationDelay);
+    // Sends the leader a list of the machines, if it waits for a server.
+    void listMachines(const std::shared_ptr<Leader>& leader);
     void advanceServer(FakeServer& server);
     void endRun(FakeServer& server, const TaskId& id, RunEnd end);
 
