Bound stored progress, and set a rejected row aside

Cause: the progress row grew with the checkpoints beyond the 64 KiB of a row. The store refused every transaction with it, the leader repeated them, no end was acknowledged, heartbeats were late, and new leaders started tasks whose ends were hidden behind the 500 ends of a report.

Change: progress is encoded within three quarters of the limit, which the platform's settings name; checkpoints that do not fit are left out. Jobs have at most 20,000 tasks in their active occurrences, and a job that no row can hold is refused at once with 400. A rejected transaction is halved until the rejected row is alone, and that row is given up. A use record that did not fit is no longer taken for stored. Jobs of an earlier leader wait until reports are not full any more.

Without the search for the rejected row, the check of use records, and the wait for full reports (trial), aRejectedProgressRowHoldsUpNoOtherJob, aServerWithoutAStoredRecordGetsNoTasks and inheritedJobsWaitForEndsBeyondAFullReport fail.

--- a/include/waxwinglug/fleet-platform.h
+++ b/include/waxwinglug/fleet-platform.h
@@ -6,6 +6,7 @@
 #include <waxwinglug/server-orders.h>
 #include <waxwinglug/work.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -99,7 +100,12 @@
     bool mayHaveMore = false;
 };
 
+// Largest value of a row that the platform's store accepts, in bytes, where the settings name no other.
+constexpr std::size_t defaultMaxRowBytes = 65'536;
+
 struct RowStore {
+    // Largest value of a row, in bytes.
+    std::size_t maxRowBytes = defaultMaxRowBytes;
     std::function<void(RowTransaction, Duration deadline, std::function<void(TransactionResult)>)> commit;
     // Lists rows of one table and part, from the key `from` up to but not including `end`; an empty `end` is no bound.
     // The handler gets nullopt when the store does not answer.
--- a/include/waxwinglug/settings.h
+++ b/include/waxwinglug/settings.h
@@ -74,6 +74,8 @@
     Duration cancellationLimit { 0 };
     // Moves and maintenance orders that the platform accepts in a second.
     double machineOrdersPerSecond = 0;
+    // Largest value of a row that the platform's store accepts.
+    std::uint64_t maxRowBytes = 0;
 };
 
 // One setting as listed by `--help`.
--- a/include/waxwinglug/work.h
+++ b/include/waxwinglug/work.h
@@ -103,6 +103,13 @@
 
 constexpr bool isFinal(JobStatus state) { return state != JobStatus::Pending && state != JobStatus::Running; }
 
+// Largest number of tasks of one occurrence of a job. The progress of a job is stored in one row, which holds a mark
+// for each task and the numbers of failed runs.
+constexpr int maxTasksPerJob = 20'000;
+
+// Number of tasks of one occurrence.
+int taskCount(const JobSpec& spec);
+
 // Identifies one task of one occurrence of a job. All numbers start at 0.
 struct TaskId {
     std::string job;
--- a/src/io/process/fleet-node.cpp
+++ b/src/io/process/fleet-node.cpp
@@ -335,6 +335,8 @@
         rules.endedJobRetention = this->settings.endedJobRetention + std::chrono::minutes(1);
         rules.lease = std::min(rules.lease, this->settings.maxServerLease);
         rules.maxLease = this->settings.maxServerLease;
+        // The contract does not say whether the limit holds for a value or for its base64 encoding.
+        rules.maxProgressBytes = this->platform.store.maxRowBytes / 4 * 3;
         rules.maxJobTableAge = this->settings.cancellationLimit - startDelayReserve;
         MachineMaintenanceRules maintenanceRules;
         if (this->leadership.hasPredecessorStopped())
--- a/src/io/process/job-gateway.cpp
+++ b/src/io/process/job-gateway.cpp
@@ -32,6 +32,7 @@
     constexpr Duration maxRefreshedSummaryAge = maxPendingCountAge * 3 / 2;
     constexpr Duration summaryRefreshDelay { 250 };
     constexpr std::size_t maxJobIdLength = 64;
+    constexpr std::string_view rejectedJob = "the store rejects the job";
 
     bool isValidJobId(std::string_view id)
     {
@@ -52,6 +53,12 @@
         return state != json.end() && state->is_string() ? parseJobStatus(state->get<std::string>()) : std::nullopt;
     }
 
+    // Tells a caller why a job is never accepted. The text may hold bytes of the request.
+    std::string encodeProblem(std::string_view problem)
+    {
+        return Json { { "problem", problem } }.dump(-1, ' ', false, Json::error_handler_t::replace);
+    }
+
     std::string hostWithoutPort(std::string_view host) { return std::string(host.substr(0, host.find(':'))); }
 
 } // namespace
@@ -141,8 +148,13 @@
         job.acceptedAt = this->clock.wallNow();
         validateJob(job);
         exchange->jobValue = toJson(job);
+        const auto limit = this->platform.store.maxRowBytes;
+        if (exchange->jobValue.size() > limit)
+            throw Error(ErrorKind::Invalid,
+                fmt::format("the encoded job has {} bytes, and the store accepts {}", exchange->jobValue.size(), limit),
+                "use fewer steps and shorter texts");
     } catch (const Error& error) {
-        return this->answer(exchange, 400, "", error.what());
+        return this->answer(exchange, 400, encodeProblem(error.what()), error.what());
     }
     this->commitJob(exchange);
 }
@@ -164,6 +176,9 @@
             exchange->mayBeStored = true;
             return this->readJobBack(exchange);
         }
+        // The same row would be rejected again.
+        if (result.status == CommitStatus::Rejected && !exchange->mayBeStored)
+            return this->answer(exchange, 400, encodeProblem(rejectedJob), rejectedJob);
         if (this->timeLeft(*exchange) > initialRetryDelay * 2)
             return this->retryLater(exchange, &JobGateway::commitJob);
         if (exchange->mayBeStored)
--- a/src/io/process/leader-session-storage.cpp
+++ b/src/io/process/leader-session-storage.cpp
@@ -2,6 +2,7 @@
 #include "io/process/leader-session.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace waxwinglug::io {
 namespace {
@@ -17,6 +18,8 @@
     // The entry limit is not lowered further after rejected transactions: the leader's condition, a heartbeat and one
     // job must fit.
     constexpr std::size_t minTransactionEntries = 4;
+    // Nor is the limit of bytes lowered below the encoded size of one row of the largest size and the other entries.
+    constexpr std::size_t minTransactionRows = 2;
     constexpr std::size_t maxRemovalsPerTick = 1; // jobs; as many expire as are accepted, a few dozen a second
     // Counts that callers see may be up to 2 s old, and the jobs are known as of up to 0.5 s before they are written.
     constexpr Duration minSummaryInterval { 700 };
@@ -50,7 +53,9 @@
 // Unchanged counts are written again, with a transaction that is due anyway, because VMs tell callers no old ones.
 void LeaderSession::addSummary(BoundedTransaction& transaction)
 {
-    if (this->clock.now() - this->summaryWrittenAt < minSummaryInterval || !this->jobsMoment
+    // While the row that the store rejects is searched, a transaction holds nothing that can wait.
+    const bool isSearching = this->transactionLimits.entries < TransactionLimits {}.entries;
+    if (isSearching || this->clock.now() - this->summaryWrittenAt < minSummaryInterval || !this->jobsMoment
         || !this->jobsMoment->storeTime)
         return;
     auto waiting = this->jobScheduler.pendingJobsByQueue();
@@ -90,15 +95,7 @@
 {
     batch.maintenance = this->maintenanceRows.moveInto(transaction);
     this->addSummary(transaction);
-    batch.serverUse
-        = this->jobScheduler.takeServerUseChanges(transaction.entriesLeft() * maxServersPerCommitPercent / 100);
-    for (const auto& change : batch.serverUse) {
-        const RowName name { tables::serverUse, Leadership::part, change.server };
-        if (change.record)
-            transaction.tryAdd({ {}, { { name, toJson(*change.record) } }, {} });
-        else
-            transaction.tryAdd({ {}, {}, { name } });
-    }
+    this->addServerUse(transaction, batch);
     batch.progress
         = this->jobScheduler.takeUnsavedProgress(transaction.entriesLeft() / entriesPerJob, transaction.bytesLeft());
     for (const auto& write : batch.progress) {
@@ -107,13 +104,50 @@
     }
 }
 
-// A rejected transaction would be rejected again, so the next one is smaller.
-void LeaderSession::handleRejectedCommit()
+// A record that does not fit is taken again later; the server gets no tasks before its record is stored.
+void LeaderSession::addServerUse(BoundedTransaction& transaction, Batch& batch)
+{
+    std::vector<JobScheduler::ServerUseRecord> left;
+    const auto maxCount = transaction.entriesLeft() * maxServersPerCommitPercent / 100;
+    for (auto& change : this->jobScheduler.takeServerUseChanges(maxCount)) {
+        const RowName name { tables::serverUse, Leadership::part, change.server };
+        const bool isAdded = change.record ? transaction.tryAdd({ {}, { { name, toJson(*change.record) } }, {} })
+                                           : transaction.tryAdd({ {}, {}, { name } });
+        (isAdded ? batch.serverUse : left).push_back(std::move(change));
+    }
+    this->jobScheduler.serverUseNotSaved(left);
+}
+
+// A rejected transaction would be rejected again, so the next one is smaller, until the row that the store rejects is
+// alone. That row is given up, because it would hold up all others.
+void LeaderSession::handleRejectedCommit(const Batch& batch)
 {
-    this->transactionLimits.entries = std::max(this->transactionLimits.entries / 2, minTransactionEntries);
-    this->transactionLimits.bytes /= 2;
+    auto& limits = this->transactionLimits;
+    limits.entries = std::max(limits.entries / 2, minTransactionEntries);
+    limits.bytes = std::max(limits.bytes / 2, limits.rowBytes * minTransactionRows);
+    std::string_view largest;
+    std::size_t largestBytes = 0;
+    const auto compare = [&](std::string_view key, std::size_t bytes) {
+        if (bytes >= largestBytes)
+            std::tie(largest, largestBytes) = std::tie(key, bytes);
+    };
+    for (const auto& write : batch.progress)
+        compare(write.job, write.text.size());
+    for (const auto& row : batch.maintenance)
+        compare(row.name.key, row.value.size());
     this->hooks.log("the store rejects a transaction",
-        { { "next_entries", this->transactionLimits.entries }, { "next_bytes", this->transactionLimits.bytes } });
+        { { "rows", batch.rowCount() }, { "largest", largest }, { "largest_bytes", largestBytes },
+            { "next_entries", limits.entries }, { "next_bytes", limits.bytes } });
+    if (batch.rowCount() == 1 && !batch.progress.empty())
+        this->jobScheduler.progressRefused(batch.progress.front().job);
+}
+
+// Returns to the full limits step by step, because the row that the store rejects may still be pending.
+void LeaderSession::raiseTransactionLimits()
+{
+    const TransactionLimits full;
+    this->transactionLimits.entries = std::min(this->transactionLimits.entries * 2, full.entries);
+    this->transactionLimits.bytes = std::min(this->transactionLimits.bytes * 2, full.bytes);
 }
 
 // Removes the rows of jobs that ended long ago. Job rows are in other parts than the rows of the leader, so the removal
@@ -157,7 +191,7 @@
         this->leadership.commitConfirmed(sentAt);
         this->jobScheduler.progressSaved(batch.progress, result.version);
         this->jobScheduler.serverUseSaved(batch.serverUse);
-        this->transactionLimits = {};
+        this->raiseTransactionLimits();
         return this->scheduleDispatch();
     }
     this->leadership.commitFailed();
@@ -180,9 +214,11 @@
     }
     this->jobScheduler.progressNotSaved(batch.progress);
     this->jobScheduler.serverUseNotSaved(batch.serverUse);
-    this->maintenanceRows.restore(batch.maintenance);
-    if (result.status == CommitStatus::Rejected)
-        this->handleRejectedCommit();
+    const bool isRejected = result.status == CommitStatus::Rejected;
+    if (!isRejected || batch.rowCount() > 1)
+        this->maintenanceRows.restore(batch.maintenance);
+    if (isRejected)
+        this->handleRejectedCommit(batch);
 }
 
 // The operator's rows are in another part than the leader's, so these writes cannot be conditional on leadership. They
--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -49,6 +49,7 @@
     , tickTimer(io)
     , dispatchTimer(io)
 {
+    this->transactionLimits.rowBytes = fleetPlatform.store.maxRowBytes;
     this->jobScheduler.setConfig(std::move(config));
 }
 
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -87,6 +87,11 @@
         std::vector<ProgressWrite> progress;
         std::vector<JobScheduler::ServerUseRecord> serverUse;
         std::vector<RowValue> maintenance;
+
+        std::size_t rowCount() const
+        {
+            return this->progress.size() + this->serverUse.size() + this->maintenance.size();
+        }
     };
     struct WaveReport {
         MachineWave wave;
@@ -122,7 +127,9 @@
     void sendWaveReports();
     void storePoolSizes();
     void takeBatch(BoundedTransaction& transaction, Batch& batch);
-    void handleRejectedCommit();
+    void handleRejectedCommit(const Batch& batch);
+    void raiseTransactionLimits();
+    void addServerUse(BoundedTransaction& transaction, Batch& batch);
     void removeExpiredJobs();
     void compactEndedJobs();
     void addSummary(BoundedTransaction& transaction);
--- a/src/job/bounded-transaction.cpp
+++ b/src/job/bounded-transaction.cpp
@@ -23,8 +23,11 @@
     std::size_t bytes = 0;
     for (const auto& condition : entries.conditions)
         bytes += encodedSize(condition.name, 0);
-    for (const auto& write : entries.writes)
+    for (const auto& write : entries.writes) {
+        if (write.value.size() > this->limits.rowBytes)
+            return false;
         bytes += encodedSize(write.name, write.value.size());
+    }
     for (const auto& name : entries.removals)
         bytes += encodedSize(name, 0);
     if (count > this->entriesLeft() || bytes > this->bytesLeft())
--- a/src/job/bounded-transaction.h
+++ b/src/job/bounded-transaction.h
@@ -19,6 +19,7 @@
 struct TransactionLimits {
     std::size_t entries = 100; // conditions, writes and removals together
     std::size_t bytes = 900'000; // of the encoded transaction; the store accepts 1 MB
+    std::size_t rowBytes = defaultMaxRowBytes; // of one value
 };
 
 // Size of one entry in an encoded transaction: the value in base64, the names, and the syntax around them.
@@ -31,7 +32,7 @@
     {
     }
 
-    // Adds all of the entries, or none of them if the transaction would exceed a limit.
+    // Adds all of the entries, or none of them if the transaction or one of its rows would exceed a limit.
     bool tryAdd(RowTransaction entries);
     std::size_t entriesLeft() const { return this->limits.entries - this->entryCount; }
     std::size_t bytesLeft() const { return this->limits.bytes - this->byteCount; }
@@ -49,7 +50,8 @@
 class PendingRows {
 public:
     void set(RowValue row);
-    // Adds rows to the transaction while they fit, and returns those. They are no longer pending.
+    // Adds rows to the transaction while they fit, and returns those. They are no longer pending. A row that exceeds
+    // the limit of one value stays pending and does not delay the others.
     std::vector<RowValue> moveInto(BoundedTransaction& transaction);
     // Makes rows pending again whose transaction failed, unless they have a newer value.
     void restore(std::span<const RowValue> rows);
--- a/src/job/job-table.cpp
+++ b/src/job/job-table.cpp
@@ -11,6 +11,31 @@
 
     // Maximum number of active occurrences of one job. Later ones wait until one of them is complete.
     constexpr std::size_t maxActiveOccurrences = 50;
+    // Upper bounds of the encoded size of one occurrence, of one step and of one failed run, and of the rest of the
+    // row.
+    constexpr std::size_t occurrenceBytes = 64;
+    constexpr std::size_t stepBytes = 4;
+    constexpr std::size_t failedRunBytes = 32;
+    constexpr std::size_t rowBytes = 64;
+
+    // The stored progress and the memory of a job grow with the tasks of its active occurrences.
+    std::size_t activeOccurrenceLimit(const JobSpec& spec)
+    {
+        const auto tasks = static_cast<std::size_t>(std::max(taskCount(spec), 1));
+        return std::clamp<std::size_t>(maxTasksPerJob / tasks, 1, maxActiveOccurrences);
+    }
+
+    // Returns an upper bound of the encoded size without checkpoints.
+    std::size_t maxEncodedSize(const Occurrence& occurrence)
+    {
+        auto size = occurrenceBytes;
+        for (const auto& step : occurrence.steps) {
+            size += stepBytes + step.tasks.size();
+            for (const auto& task : step.tasks)
+                size += task.failedRuns.size() * failedRunBytes;
+        }
+        return size;
+    }
 
     // Declared run time of the longest chain of dependent steps.
     Duration longestPath(const JobSpec& spec)
@@ -43,7 +68,23 @@
 
     std::string taskKey(std::size_t step, std::size_t index) { return fmt::format("{}.{}", step, index); }
 
-    Json saveOccurrence(const Occurrence& occurrence)
+    // Adds the checkpoint of a task while the bytes that are left suffice.
+    void addCheckpoint(Json& checkpoints, std::string key, const std::string& checkpoint, std::size_t& bytesLeft,
+        std::size_t& omittedCheckpoints)
+    {
+        constexpr std::size_t separatorBytes = 4;
+        Json value = checkpoint;
+        // Escaping makes a text longer, so the encoded form counts.
+        const auto size = key.size() + value.dump().size() + separatorBytes;
+        if (size > bytesLeft) {
+            ++omittedCheckpoints;
+            return;
+        }
+        bytesLeft -= size;
+        checkpoints[std::move(key)] = std::move(value);
+    }
+
+    Json saveOccurrence(const Occurrence& occurrence, std::size_t& bytesLeft, std::size_t& omittedCheckpoints)
     {
         Json done = Json::array();
         Json failures = Json::object();
@@ -57,7 +98,7 @@
                 if (!task.failedRuns.empty())
                     failures[taskKey(step, index)] = task.failedRuns;
                 if (!task.checkpoint.empty() && task.phase != TaskPhase::Done)
-                    checkpoints[taskKey(step, index)] = task.checkpoint;
+                    addCheckpoint(checkpoints, taskKey(step, index), task.checkpoint, bytesLeft, omittedCheckpoints);
             }
             done.push_back(std::move(bits));
         }
@@ -234,16 +275,22 @@
     job.rowVersion = rowVersion;
 }
 
-std::string JobTable::save(const JobRecord& job)
+SavedProgress JobTable::save(const JobRecord& job, std::size_t maxBytes)
 {
+    SavedProgress saved;
     Json active = Json::array();
     if (!job.isOver()) {
+        auto size = rowBytes;
+        for (const auto& [number, occurrence] : job.activeOccurrences)
+            size += maxEncodedSize(occurrence);
+        auto bytesLeft = maxBytes - std::min(maxBytes, size);
         for (const auto& [number, occurrence] : job.activeOccurrences)
-            active.push_back(saveOccurrence(occurrence));
+            active.push_back(saveOccurrence(occurrence, bytesLeft, saved.omittedCheckpoints));
     }
-    return Json {
+    saved.text = Json {
         { "state", jobStatusName(job.state) }, { "next", job.nextOccurrence }, { "open", std::move(active) }
     }.dump();
+    return saved;
 }
 
 bool JobTable::isCompleted(std::string_view text)
@@ -259,7 +306,7 @@
 {
     bool activated = false;
     while (!job.isOver() && job.nextOccurrence < job.occurrenceCount()
-        && job.activeOccurrences.size() < maxActiveOccurrences && job.dueAt(job.nextOccurrence) <= now) {
+        && job.activeOccurrences.size() < activeOccurrenceLimit(job.spec) && job.dueAt(job.nextOccurrence) <= now) {
         const int number = job.nextOccurrence++;
         job.activeOccurrences.emplace(number, makeOccurrence(job, number));
         activated = true;
--- a/src/job/job-table.h
+++ b/src/job/job-table.h
@@ -4,6 +4,7 @@
 #include <waxwinglug/work.h>
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <span>
@@ -132,6 +133,12 @@
     std::size_t operator()(std::string_view text) const { return std::hash<std::string_view> {}(text); }
 };
 
+// The stored form of a job's progress.
+struct SavedProgress {
+    std::string text;
+    std::size_t omittedCheckpoints = 0;
+};
+
 using JobMap = std::unordered_map<std::string, std::unique_ptr<JobRecord>, StringHash, std::equal_to<>>;
 
 class JobTable {
@@ -142,7 +149,9 @@
     void remove(std::string_view id);
     // Restores a job from its stored progress. Throws Error (Invalid) if the text is malformed.
     static void load(JobRecord& job, std::string_view text, std::uint64_t rowVersion);
-    static std::string save(const JobRecord& job);
+    // Encodes the progress in at most `maxBytes`. Checkpoints that do not fit are left out, because the servers report
+    // them again and a task can also start without one. The result is larger if the rest does not fit.
+    static SavedProgress save(const JobRecord& job, std::size_t maxBytes = std::numeric_limits<std::size_t>::max());
     // Returns true if the stored progress is that of a completed job. Throws Error (Invalid) if it is malformed.
     static bool isCompleted(std::string_view text);
 
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -124,11 +124,15 @@
         && now >= server.ejectedUntil && !(server.probing && !server.runs.empty());
 }
 
-// Returns true if a server used by the previous leader has not answered yet. It may run tasks that are unknown here.
+// Returns true if a server used by the previous leader has not answered yet, or has not listed all ends. It may run
+// tasks, or have completed some, that are unknown here.
 bool JobScheduler::mayHaveUnknownRuns(const std::string& service) const
 {
-    if (this->clock.now() - this->termStartedAt > this->rules.maxInheritedLease)
-        return false;
+    const auto now = this->clock.now();
+    const bool mayHaveEnds = std::ranges::any_of(this->fullReporters,
+        [&](const Server* server) { return server->record.service == service && !server->isLeaseExpired(now); });
+    if (mayHaveEnds || now - this->termStartedAt > this->rules.maxInheritedLease)
+        return mayHaveEnds;
     return std::ranges::any_of(this->serverMap,
         [&service](const auto& entry) { return entry.second->inherited && entry.second->record.service == service; });
 }
--- a/src/job/reports.cpp
+++ b/src/job/reports.cpp
@@ -259,8 +259,11 @@
 // Handles runs that are missing from a report that should list them.
 void JobScheduler::applyMissingRuns(Server& server, TimePoint sentAt, const RenewReport& report)
 {
-    if (report.ended.size() >= maxEndsPerReport)
+    if (report.ended.size() >= maxEndsPerReport) {
+        this->fullReporters.insert(&server);
         return;
+    }
+    this->fullReporters.erase(&server);
     const auto isReported = [&report](const TaskId& id, int run) {
         return std::ranges::any_of(
             report.running, [&](const RunningTask& running) { return running.run == run && running.task == id; });
@@ -417,6 +420,7 @@
     server.lastProcessedEnd = 0;
     server.lastStoredEnd = 0;
     server.unacknowledgedEnds.clear();
+    this->fullReporters.erase(&server);
     this->dropOrphans(server, [](const TaskId&, int) { return true; });
     server.reportClock = 0;
     server.leaseUntil = 0;
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -173,7 +173,7 @@
     std::size_t bytes = 0;
     while (batch.size() < maxCount && !this->unsaved.empty()) {
         const auto [sequence, job] = *this->unsaved.begin();
-        auto text = detail::JobTable::save(*job);
+        auto text = this->encodeProgress(*job);
         bytes += progressEncodedSize(job->spec.id, text.size());
         if (bytes > maxBytes)
             break;
@@ -186,6 +186,29 @@
     return batch;
 }
 
+// A job whose progress exceeds the largest row ends, because nothing that happens to its tasks could be stored any
+// more, and the ends that its servers have listed could not be acknowledged.
+std::string JobScheduler::encodeProgress(JobRecord& job)
+{
+    auto saved = detail::JobTable::save(job, this->rules.maxProgressBytes);
+    if (saved.omittedCheckpoints > 0)
+        this->hooks.log("checkpoints are not stored",
+            { { "job", job.spec.id }, { "checkpoints", saved.omittedCheckpoints }, { "bytes", saved.text.size() } });
+    if (saved.text.size() <= this->rules.maxProgressBytes || job.isOver())
+        return std::move(saved.text);
+    this->hooks.log("progress of a job exceeds the largest row",
+        { { "job", job.spec.id }, { "bytes", saved.text.size() }, { "limit", this->rules.maxProgressBytes } });
+    this->finishJob(job, JobStatus::Failed, "its progress exceeds the largest row");
+    return detail::JobTable::save(job).text;
+}
+
+void JobScheduler::progressRefused(std::string_view id)
+{
+    auto* job = this->jobTable.find(id);
+    if (job && !job->isOver())
+        this->finishJob(*job, JobStatus::Failed, "the store refuses its progress");
+}
+
 void JobScheduler::progressSaved(std::span<const ProgressWrite> batch, std::uint64_t rowVersion)
 {
     this->inFlightSequence = 0;
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -63,6 +63,8 @@
     Duration maxInheritedLease { 9500 };
     // Time for which the rows of an ended job are kept.
     Duration endedJobRetention { std::chrono::minutes(3) };
+    // Largest stored progress of one job, in bytes.
+    std::size_t maxProgressBytes = std::numeric_limits<std::size_t>::max();
 
     // Shortens the waiting times above. Only valid if the earlier leader is known to have stopped.
     void assumeEarlierLeaderStopped();
@@ -122,6 +124,9 @@
     std::size_t unsavedJobCount() const { return this->unsaved.size(); }
     void progressSaved(std::span<const ProgressWrite> batch, std::uint64_t rowVersion);
     void progressNotSaved(std::span<const ProgressWrite> batch);
+    // Ends a job whose progress the store refuses for a reason that it does not name: the same row would be refused
+    // again, and with it the progress of every other job. Call after progressNotSaved().
+    void progressRefused(std::string_view job);
     // Sets the actual version of a job's progress row after a write failed with a version conflict.
     void setProgressVersion(std::string_view job, std::uint64_t rowVersion);
 
@@ -199,6 +204,7 @@
     // scheduler.cpp
     void applyQueueSettings(detail::JobRecord& job);
     std::uint64_t markUnsaved(detail::JobRecord& job);
+    std::string encodeProgress(detail::JobRecord& job);
     // All changes up to this sequence number are stored.
     std::uint64_t storedSequence() const;
     void acknowledgeStoredEnds(detail::Server& server, std::uint64_t storedThrough);
@@ -305,6 +311,8 @@
     std::uint64_t lastServerSerial = 0;
     // Servers with unacknowledged ends.
     std::vector<detail::Server*> unstoredServers;
+    // Servers whose latest report was full, so that they may have recorded ends that are not listed yet.
+    std::set<const detail::Server*> fullReporters;
     // Servers by machine, including earlier incarnations. Maintenance and the pool mover look up every machine in each
     // tick.
     std::unordered_map<std::string, std::vector<detail::Server*>> machineServers;
--- a/src/job/servers.cpp
+++ b/src/job/servers.cpp
@@ -118,6 +118,7 @@
     this->removeFromMachine(server);
     this->removeFromService(server);
     this->renewalQueue.erase({ server.nextRenewalAt, server.serial });
+    this->fullReporters.erase(&server);
     if (server.isInUnstoredList)
         std::erase(this->unstoredServers, &server);
 }
--- a/src/job/work.cpp
+++ b/src/job/work.cpp
@@ -110,12 +110,23 @@
     return found == this->teams.end() ? nullptr : &*found;
 }
 
+int taskCount(const JobSpec& spec)
+{
+    int count = 0;
+    for (const auto& step : spec.steps)
+        count += step.count;
+    return count;
+}
+
 void validateJob(const JobSpec& spec)
 {
     if (spec.steps.empty() || spec.steps.size() > maxSteps)
         throw invalidJob(fmt::format("the job has {} steps", spec.steps.size()), "use 1 to 100 steps");
     for (std::size_t number = 0; number < spec.steps.size(); ++number)
         checkStep(spec.steps[number], static_cast<int>(number));
+    if (taskCount(spec) > maxTasksPerJob)
+        throw invalidJob(fmt::format("the steps of the job have {} tasks", taskCount(spec)),
+            fmt::format("use at most {} tasks in all", maxTasksPerJob));
     if (spec.occurrences < 0 || spec.occurrences > maxOccurrences)
         throw invalidJob(fmt::format("the job runs {} times", spec.occurrences), "use 0 to 100000");
     if (spec.occurrences > 1 && spec.interval <= Duration(0))
--- a/test/io/job-gateway-test.cpp
+++ b/test/io/job-gateway-test.cpp
@@ -34,6 +34,7 @@
         int lostCommitAnswers = 0; // commits that are carried out and not answered
         int lostCommits = 0; // commits that are neither carried out nor answered
         int refusedCommits = 0;
+        bool rejectsCommits = false;
         int callCount = 0;
         FleetPlatform platform;
         Metrics metrics;
@@ -114,6 +115,8 @@
         void commit(RowTransaction transaction, Duration timeout, std::function<void(TransactionResult)> handler)
         {
             ++this->callCount;
+            if (this->rejectsCommits)
+                return this->after(this->latency, [handler] { handler({ CommitStatus::Rejected, 0, {} }); });
             if (this->isUnreachable || this->lostCommits > 0) {
                 --this->lostCommits;
                 return this->after(timeout, [handler] { handler({ CommitStatus::Unknown, 0, {} }); });
@@ -432,4 +435,26 @@
     EXPECT_EQ(this->request("GET", "/q/a").body, "failed");
 }
 
+// Guards against a job that no row can hold, and against a write that is repeated until the deadline although the store
+// rejects it for good. Both are refused at once, with a status that says that the same job is never accepted.
+TEST_F(JobGatewayTest, jobThatTheStoreWouldRejectIsRefusedAtOnce)
+{
+    this->platform.formats.decodeJob = [](std::string_view) {
+        JobSpec job;
+        job.steps.emplace_back();
+        job.command = std::string(defaultMaxRowBytes, 'x');
+        return job;
+    };
+    EXPECT_EQ(this->request("POST", "/q/wide").status, 400);
+    EXPECT_EQ(this->callCount, 0);
+    this->platform.formats.decodeJob = [](std::string_view) {
+        JobSpec job;
+        job.steps.emplace_back();
+        return job;
+    };
+    this->rejectsCommits = true;
+    EXPECT_EQ(this->request("POST", "/q/odd").status, 400);
+    EXPECT_EQ(this->callCount, 1);
+}
+
 } // namespace waxwinglug::io
--- a/test/io/leader-session-test.cpp
+++ b/test/io/leader-session-test.cpp
@@ -28,6 +28,9 @@
         std::string silentTable; // follow calls and lists of this table get no answer
         int jobFeedAnswers = 0;
         bool changesMayBeCut = false;
+        std::function<bool(const RowValue&)> rejects; // the store rejects a transaction with such a write
+        std::vector<RunningTask> runningTasks;
+        std::size_t labelBytes = 1; // of a server
         FleetPlatform platform;
         std::unique_ptr<Leadership> leadership;
         std::shared_ptr<LeaderSession> session;
@@ -69,8 +72,51 @@
 
         StoreTime storeTime() const { return this->clock.now().time_since_epoch().count(); }
 
+        // A server that accepts every order and runs what it has started.
+        void addServer(const std::string& id)
+        {
+            this->platform.formats.decodeServer = [this](const StoredRow& row) {
+                ServerRecord server;
+                server.id = row.name.key;
+                server.service = "quoting";
+                server.capacity = { 100'000, 100'000, 0 };
+                server.labels = { std::string(this->labelBytes, 'x') };
+                return server;
+            };
+            this->platform.servers.start = [this](const ServerRecord&, const StartOrder& order, auto handler) {
+                this->runningTasks.push_back({ order.task, order.run, "", 10, 0 });
+                boost::asio::post(this->context, [handler] { handler(OrderStatus::Accepted); });
+            };
+            this->platform.servers.stop = [this](const ServerRecord&, const StopOrder& order, auto handler) {
+                std::erase_if(this->runningTasks, [&](const RunningTask& each) { return each.task == order.task; });
+                boost::asio::post(this->context, [handler] { handler(OrderStatus::Accepted); });
+            };
+            this->platform.servers.renewLease = [this](const ServerRecord&, const RenewOrder&, auto handler) {
+                auto timer = std::make_shared<boost::asio::steady_timer>(this->context, Duration(30));
+                timer->async_wait([this, timer, handler](const boost::system::error_code&) {
+                    RenewReport report;
+                    report.clock = this->storeTime();
+                    report.running = this->runningTasks;
+                    handler(OrderStatus::Accepted, report);
+                });
+            };
+            RowTransaction transaction;
+            transaction.writes.push_back({ { "servers", "", id }, "" });
+            this->apply(transaction);
+        }
+
+        JobStatus storedState(const std::string& job) const
+        {
+            const auto row = this->rows.find({ tables::progress, Leadership::part, job });
+            return row == this->rows.end()
+                ? JobStatus::Pending
+                : parseJobStatus(Json::parse(row->second.value).at("state").get<std::string>()).value();
+        }
+
         TransactionResult apply(const RowTransaction& transaction)
         {
+            if (this->rejects && std::ranges::any_of(transaction.writes, this->rejects))
+                return { CommitStatus::Rejected, 0, {} };
             TransactionResult conflict { CommitStatus::Conflict, 0, {} };
             for (const auto& condition : transaction.conditions) {
                 const auto row = this->rows.find(condition.name);
@@ -321,4 +367,37 @@
     EXPECT_EQ(this->rows.at(tables::jobRow("pending")).version, pendingVersion);
 }
 
+// Guards against one row that the store rejects, for whatever reason, and that holds up the progress of all other jobs:
+// ends are not acknowledged, heartbeats fail, and the next leaders start ended tasks again.
+TEST_F(LeaderSessionTest, aRejectedProgressRowHoldsUpNoOtherJob)
+{
+    this->rejects = [](const RowValue& write) {
+        return write.name.table == tables::progress && write.name.key == "a-odd"
+            && write.value.find("failed") == std::string::npos;
+    };
+    this->addServer("server");
+    for (const auto* id : { "a-odd", "b", "c", "d", "e", "f" })
+        this->submit(id);
+    this->session->start();
+    ASSERT_TRUE(this->runUntil([this] {
+        return std::ranges::all_of(std::vector<std::string> { "b", "c", "d", "e", "f" }, [this](const auto& id) {
+            return this->storedState(id) == JobStatus::Running;
+        }) && this->storedState("a-odd") == JobStatus::Failed;
+    }));
+}
+
+// Guards against a server that counts as recorded although its record did not fit into a transaction: the next leader
+// would not wait for what runs on it.
+TEST_F(LeaderSessionTest, aServerWithoutAStoredRecordGetsNoTasks)
+{
+    this->rejects = [](const RowValue& write) { return write.value.size() > defaultMaxRowBytes; };
+    this->labelBytes = defaultMaxRowBytes;
+    this->addServer("server");
+    this->submit("a");
+    this->session->start();
+    ASSERT_TRUE(this->runUntil([this] { return this->pendingQuotes().has_value(); }));
+    this->skip(Duration(2400));
+    EXPECT_TRUE(this->runningTasks.empty());
+}
+
 } // namespace waxwinglug::io
--- a/test/job/bounded-transaction-test.cpp
+++ b/test/job/bounded-transaction-test.cpp
@@ -59,6 +59,18 @@
         EXPECT_GE(transactions, 4U);
     }
 
+    // A row that the store refuses in every transaction must not hold up the rows beside it.
+    TEST(BoundedTransaction, rowBeyondTheRowLimitStaysPendingAndDelaysNoOther)
+    {
+        PendingRows pending;
+        pending.set(row("1", std::string(defaultMaxRowBytes + 1, 'x')));
+        pending.set(row("2", "[]"));
+        BoundedTransaction transaction({});
+        const auto moved = pending.moveInto(transaction);
+        ASSERT_EQ(moved.size(), 1U);
+        EXPECT_EQ(moved.front().name.key, "2");
+    }
+
     TEST(BoundedTransaction, entriesAreAddedAsAWhole)
     {
         BoundedTransaction transaction({ 2, 10'000 });
--- a/test/job/scheduler-test.cpp
+++ b/test/job/scheduler-test.cpp
@@ -15,6 +15,7 @@
         std::map<std::string, RenewOrder> renewals;
         bool mayStart = true;
         int supersededCalls = 0;
+        std::size_t maxProgressBytes = 49'152;
         std::unique_ptr<JobScheduler> scheduler;
         std::map<std::string, std::uint64_t> ends; // last end number of each server
         std::map<std::string, WallTime> incarnations; // start that each server names in its reports and rows
@@ -38,6 +39,7 @@
             hooks.log = [](std::string_view, std::initializer_list<LogField>) {};
             JobSchedulerRules rules;
             rules.fence = fence;
+            rules.maxProgressBytes = this->maxProgressBytes;
             this->starts.clear();
             this->renewals.clear();
             this->scheduler = std::make_unique<JobScheduler>(rules, this->clock.clock(), hooks);
@@ -770,6 +772,64 @@
     EXPECT_EQ(this->starts.size(), 1U);
 }
 
+// Guards against a second run of a task whose end as done a new leader cannot see yet, because the report of its server
+// is full of earlier ends, also when the leases of the earlier leader have expired meanwhile.
+TEST_F(SchedulerTest, inheritedJobsWaitForEndsBeyondAFullReport)
+{
+    this->begin(2);
+    this->scheduler->addJob(this->job("j", this->step(1)), true);
+    this->scheduler->addServerInUse(this->record("a"));
+    this->addServer("b");
+    std::vector<EndedRun> earlier(500);
+    for (auto& each : earlier)
+        each = { ++this->ends["a"], { "other", 0, 0, 0 }, 1, RunEnd::Done, "" };
+    this->answerRenewal("a", {}, earlier);
+    EXPECT_TRUE(this->starts.empty());
+    for (int second = 0; second < 12; ++second) {
+        this->clock.advance(Duration(1000));
+        this->answerRenewal("b", {}, {});
+        this->answerRenewal("a", {}, earlier);
+    }
+    EXPECT_TRUE(this->starts.empty());
+    this->answerRenewal("a", {}, { { ++this->ends["a"], { "j", 0, 0, 0 }, 1, RunEnd::Done, "" } });
+    EXPECT_TRUE(this->starts.empty());
+    EXPECT_EQ(this->scheduler->jobStatus("j"), JobStatus::Completed);
+}
+
+// Guards against jobs that wait for good because a server with a full report is gone.
+TEST_F(SchedulerTest, inheritedJobsDoNotWaitForAServerWhoseLeaseHasExpired)
+{
+    this->begin(2);
+    this->scheduler->addJob(this->job("j", this->step(1)), true);
+    this->scheduler->addServerInUse(this->record("a"));
+    this->addServer("b");
+    std::vector<EndedRun> earlier(500);
+    for (auto& each : earlier)
+        each = { ++this->ends["a"], { "other", 0, 0, 0 }, 1, RunEnd::Done, "" };
+    this->answerRenewal("a", {}, earlier);
+    this->expireLease("a");
+    this->answerRenewal("b", {}, {});
+    EXPECT_EQ(this->starts.size(), 1U);
+}
+
+// Guards against one job whose progress no row can hold: it ends, and the progress of other jobs is stored.
+TEST_F(SchedulerTest, jobWhoseProgressFitsInNoRowEndsAndHoldsUpNoOther)
+{
+    this->maxProgressBytes = 200;
+    this->begin(1);
+    this->addServer("a");
+    this->scheduler->addJob(this->job("wide", this->step(300)), false);
+    this->scheduler->tick();
+    this->confirmStarts();
+    this->scheduler->addJob(this->job("small", this->step(1)), false);
+    this->scheduler->cancelJob("small");
+    const auto batch = this->scheduler->takeUnsavedProgress(100);
+    ASSERT_EQ(batch.size(), 2U);
+    for (const auto& write : batch)
+        EXPECT_LE(write.text.size(), 200U) << write.job;
+    EXPECT_EQ(this->scheduler->jobStatus("wide"), JobStatus::Failed);
+}
+
 // Load: the leader is lost while many servers are unresponsive. Guards against teams that wait for seconds because
 // unresponsive servers may run tasks of other teams.
 TEST_F(SchedulerTest, unknownRunsCountOnlyForTeamsThatMayHaveThem)
--- a/test/job/scheduling-leaders.cpp
+++ b/test/job/scheduling-leaders.cpp
@@ -197,7 +197,8 @@
 void SchedulingWorld::listMachines(const std::shared_ptr<Leader>& leader)
 {
     const auto now = this->manual.now();
-    if (now - leader->machinesListedAt < machineListInterval || !leader->scheduler->waitsForUnresponsiveServer())
+    if (this->faults.serverRestarts == 0 || now - leader->machinesListedAt < machineListInterval
+        || !leader->scheduler->waitsForUnresponsiveServer())
         return;
     leader->machinesListedAt = now;
     std::vector<MachineRecord> machines;
--- a/test/job/scheduling-world.cpp
+++ b/test/job/scheduling-world.cpp
@@ -179,7 +179,7 @@
         }
         if (happens(this->faults.serverCrashes))
             this->restartServer(server, Duration(0), Duration(0));
-        else if (!server.isDark(now) && happens(this->faults.serverRestarts))
+        else if (this->faults.serverRestarts > 0 && !server.isDark(now) && happens(this->faults.serverRestarts))
             this->restartServer(server, Duration(this->pick(50, 1500)), Duration(this->pick(0, 1500)));
     }
     if (happens(this->faults.cancellations) && !this->jobs.empty()) {
--- a/test/job/scheduling-world.h
+++ b/test/job/scheduling-world.h
@@ -32,7 +32,9 @@
     int leaderServerPartitions = 0;
     int leaderStorePartitions = 0;
     int serverCrashes = 0;
-    int serverRestarts = 0; // dark for a while, then a new incarnation, whose row follows later
+    // Dark for a while, then a new incarnation, whose row follows later. Only then are machines listed, so that the
+    // sequences of known seeds stay what they were.
+    int serverRestarts = 0;
     int serverPartitions = 0; // from every leader
     int cancellations = 0;
 };
