Assume the longest lease on a young server of an earlier leader

Cause: a server started again, and an order that named a time on the clock of its earlier incarnation gave the new one a lease of 10 s. The leader of that time knew; the next one took its own lease of 4 s for the only one, and gave up the runs too early when the server was silent.

Change: at the first answer to a leader, a server whose clock shows less than the longest delay of an order and the longest lease may hold the longest lease.

--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -246,9 +246,13 @@
     if (server.missedRenewals > 0 && server.fenceConfirmed)
         this->hooks.log(
             "backend server answers again", { { "server", serverId }, { "missed", server.missedRenewals } });
-    // Orders to the incarnation that has ended may still arrive.
+    // Orders to the incarnation that has ended may still arrive. Those of an earlier leader are refused from now on,
+    // but may have created such a lease while this incarnation was young.
+    const auto maxLease = this->rules.maxLease.count();
     if (server.leaseUntil == 0 && server.incarnationSeenAt != TimePoint {})
-        server.leaseUntil = report.clock + maxOrderDelay.count() + this->rules.maxLease.count();
+        server.leaseUntil = report.clock + maxOrderDelay.count() + maxLease;
+    else if (!server.fenceConfirmed && this->rules.fence > 1 && report.clock < maxOrderDelay.count() + maxLease)
+        server.leaseUntil = std::max(server.leaseUntil, report.clock + maxLease);
     server.fenceConfirmed = true;
     server.inherited = false;
     server.missedRenewals = 0;
@@ -281,7 +285,9 @@
         // An incarnation whose successor had written this row could not have answered.
         this->hooks.log("server row names a start that the server denies", { { "server", server.record.id } });
     }
-    if (server.answeredIncarnation && startedAt > *server.answeredIncarnation)
+    // Before its first answer, a later start than that of its row means that orders of the earlier leader may have gone
+    // to an incarnation that has ended.
+    if (startedAt > server.answeredIncarnation.value_or(server.record.startedAt))
         this->beginIncarnation(server);
     server.record.startedAt = startedAt;
     server.answeredIncarnation = startedAt;
--- a/test/job/scheduling-leaders.cpp
+++ b/test/job/scheduling-leaders.cpp
@@ -202,6 +202,7 @@
         return;
     leader->machinesListedAt = now;
     std::vector<MachineRecord> machines;
+    machines.reserve(this->servers.size());
     for (const auto& [id, server] : this->servers)
         machines.push_back({ server.record.machine, service, server.isDark(now) ? MachineState::Down : MachineState::Up,
             server.isDark(now) ? "" : id, server.record.capacity });
