Let an odd entry name no server, and end none

Cause: the row alone ended every earlier server on its machine, hid them from a new leader, and moved a server to another service. Numbers were converted without a check of their range, and a refusal with a reason of another type threw outside of any handler.

Change: only a server that has answered and named its start ends earlier ones. A server counts for every service that its rows have named.

--- a/src/io/process/leader-session-loading.cpp
+++ b/src/io/process/leader-session-loading.cpp
@@ -213,13 +213,12 @@
 
 void LeaderSession::onMaintenance(std::span<const StoredRow> rows)
 {
-    for (const auto& row : rows) {
-        const auto json = Json::parse(row.value, nullptr, false);
-        if (row.name.key == tables::poolSizesKey && json.is_object())
-            this->poolMover.setInitialSizes(json.get<std::map<std::string, int>>());
-        else if (json.is_array())
-            this->maintainedMachines[row.name.key] = json.get<std::set<std::string>>();
-    }
+    this->readEach(rows, "maintenance row cannot be read", [this](const StoredRow& row) {
+        if (row.name.key == tables::poolSizesKey)
+            this->poolMover.setInitialSizes(fromJson<std::map<std::string, int>>(row.value));
+        else
+            this->maintainedMachines[row.name.key] = fromJson<std::set<std::string>>(row.value);
+    });
     this->hasLoadedMaintenance = true;
     this->finishLoading();
 }
--- a/src/job/job-table.cpp
+++ b/src/job/job-table.cpp
@@ -18,6 +18,16 @@
     constexpr std::size_t failedRunBytes = 32;
     constexpr std::size_t rowBytes = 64;
 
+    // Bound of the work of an occurrence, in thousandths of a core times milliseconds. Sums over all jobs stay in
+    // range.
+    constexpr std::int64_t maxWork = 1'000'000'000'000'000;
+
+    // Multiplies two numbers that are not negative.
+    std::int64_t saturatedProduct(std::int64_t left, std::int64_t right)
+    {
+        return left > 0 && right > maxWork / left ? maxWork : left * right;
+    }
+
     // The stored progress and the memory of a job grow with the tasks of its active occurrences.
     std::size_t activeOccurrenceLimit(const JobSpec& spec)
     {
@@ -205,7 +215,10 @@
     for (std::size_t step = 0; step < spec.steps.size(); ++step) {
         const auto& declared = spec.steps[step];
         const auto left = static_cast<std::int64_t>(this->steps[step].tasks.size()) - this->steps[step].done;
-        remaining.work += left * declared.taskResources.cpu * declared.estimatedDuration.count();
+        remaining.work = std::min(maxWork,
+            remaining.work
+                + saturatedProduct(
+                    saturatedProduct(left, declared.taskResources.cpu), declared.estimatedDuration.count()));
         Duration start { 0 };
         for (const int earlier : declared.dependencies)
             start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -289,9 +289,12 @@
     // to an incarnation that has ended.
     if (startedAt > server.answeredIncarnation.value_or(server.record.startedAt))
         this->beginIncarnation(server);
+    const bool isNew = server.answeredIncarnation != startedAt;
     server.record.startedAt = startedAt;
     server.answeredIncarnation = startedAt;
     server.answeredAddress = server.record.address;
+    if (isNew && report.startedAt)
+        this->endEarlierIncarnations(server);
     return true;
 }
 
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -130,11 +130,11 @@
 {
     const auto now = this->clock.now();
     const bool mayHaveEnds = std::ranges::any_of(this->fullReporters,
-        [&](const Server* server) { return server->record.service == service && !server->isLeaseExpired(now); });
+        [&](const Server* server) { return server->mayRunTasksOf(service) && !server->isLeaseExpired(now); });
     if (mayHaveEnds || now - this->termStartedAt > this->rules.maxInheritedLease)
         return mayHaveEnds;
     return std::ranges::any_of(this->serverMap,
-        [&service](const auto& entry) { return entry.second->inherited && entry.second->record.service == service; });
+        [&service](const auto& entry) { return entry.second->inherited && entry.second->mayRunTasksOf(service); });
 }
 
 // Computes the priority of every active occurrence of a service.
@@ -232,8 +232,11 @@
         return unknownUse;
     std::map<std::string, Resources> capacities; // by service
     for (const auto& [id, server] : this->serverMap) {
-        if (server->inherited)
-            capacities[server->record.service] += server->record.capacity;
+        if (!server->inherited)
+            continue;
+        capacities[server->record.service] += server->record.capacity;
+        for (const auto& service : server->formerServices)
+            capacities[service] += server->record.capacity;
     }
     if (capacities.empty())
         return unknownUse;
--- a/src/job/server-table.h
+++ b/src/job/server-table.h
@@ -54,6 +54,8 @@
 
 struct Server {
     ServerRecord record;
+    // Services that its earlier rows and its use record have named: what it runs may belong to them.
+    std::set<std::string, std::less<>> formerServices;
     // The server's row is in the store.
     bool registered = true;
     TimePoint unregisteredAt; // when its row was removed
@@ -110,6 +112,10 @@
     bool probing = false;
     TimePoint backoffUntil;
 
+    bool mayRunTasksOf(std::string_view service) const
+    {
+        return this->record.service == service || this->formerServices.contains(service);
+    }
     bool isReachable() const { return this->fenceConfirmed && this->missedRenewals == 0; }
     // Best estimate of the current time on the server's clock.
     ServerClock clockAt(TimePoint now) const { return this->reportClock + (now - this->lastReportAt).count(); }
--- a/src/job/servers.cpp
+++ b/src/job/servers.cpp
@@ -32,6 +32,8 @@
 {
     if (server.record.service != record.service) {
         this->removeFromService(server);
+        if (!server.record.service.empty())
+            server.formerServices.insert(server.record.service);
         auto& others = this->serviceServers[record.service];
         others.insert(std::ranges::lower_bound(others, record.id, {},
                           [](const Server* other) -> const std::string& { return other->record.id; }),
@@ -77,11 +79,11 @@
     const auto& added = server.record;
     server.cordoned = this->cordonedMachines.contains(added.machine);
     server.maintenancePending = this->maintenancePendingMachines.contains(added.machine);
-    this->endEarlierIncarnations(server);
     this->changedServices.insert(added.service);
 }
 
-// A machine runs one server at a time, so servers that started earlier on this machine no longer exist.
+// A machine runs one server at a time, so servers that started earlier on this machine no longer exist. `latest` must
+// have answered: the row of another writer may name any machine and any start.
 void JobScheduler::endEarlierIncarnations(const Server& latest)
 {
     for (auto* other : this->serversOn(latest.record.machine)) {
@@ -125,17 +127,14 @@
 
 void JobScheduler::addServerInUse(const ServerRecord& record)
 {
-    const auto* later = record.machine.empty() ? nullptr : this->serverOnMachine(record.machine);
-    if (later && later->record.id != record.id && later->record.startedAt > record.startedAt) {
-        this->removedServers.push_back(record.id);
-        return;
-    }
     const auto place = this->serverMap.find(record.id);
     const bool isNew = place == this->serverMap.end();
     auto& server = isNew ? this->createServer(record) : *place->second;
     if (isNew) {
         this->updateRecord(server, record);
         server.registered = false;
+    } else if (server.record.service != record.service) {
+        server.formerServices.insert(record.service);
     }
     server.useRecorded = server.record.startedAt == record.startedAt;
     server.inherited = true;
@@ -307,9 +306,13 @@
 
 const Server* JobScheduler::serverOnMachine(std::string_view machine) const
 {
+    // A server that has answered is preferred: the row of another writer may name any machine and any start.
+    const auto rank = [](const Server& server) {
+        return std::pair(server.answeredIncarnation.has_value(), server.record.startedAt);
+    };
     const Server* latest = nullptr;
     for (const auto* server : this->serversOn(machine)) {
-        if (server->registered && (!latest || latest->record.startedAt < server->record.startedAt))
+        if (server->registered && (!latest || rank(*latest) < rank(*server)))
             latest = server;
     }
     return latest;
--- a/src/job/work.cpp
+++ b/src/job/work.cpp
@@ -14,6 +14,8 @@
     constexpr int maxTasksPerStep = 2000;
     constexpr std::size_t maxSteps = 100;
     constexpr int maxOccurrences = 100'000;
+    // Longest time of a job and latest due time after 1970; sums and multiples of it stay in the range of Duration.
+    constexpr Duration maxTimeSpan { std::chrono::years(100) };
 
     template <typename List> auto findByName(const List& list, std::string_view name)
     {
@@ -41,6 +43,9 @@
                 fmt::format("use 1 to {} tasks", maxTasksPerStep));
         if (step.taskResources.cpu < 0 || step.taskResources.memory < 0 || step.taskResources.accelerators < 0)
             throw invalidJob(fmt::format("step {} needs a negative amount", number), "use 0 or more");
+        if (step.estimatedDuration < Duration(0) || step.estimatedDuration > maxTimeSpan)
+            throw invalidJob(fmt::format("the estimate of step {} is {} ms", number, step.estimatedDuration.count()),
+                fmt::format("use 0 to {} ms", maxTimeSpan.count()));
         for (const int earlier : step.dependencies) {
             if (earlier < 0 || earlier >= number)
                 throw invalidJob(fmt::format("step {} waits for step {}", number, earlier), "name only earlier steps");
@@ -131,6 +136,9 @@
         throw invalidJob(fmt::format("the job runs {} times", spec.occurrences), "use 0 to 100000");
     if (spec.occurrences > 1 && spec.interval <= Duration(0))
         throw invalidJob("the interval between two runs is not positive", "use 1 ms or more");
+    const auto firstDue = spec.firstDue.time_since_epoch();
+    if (spec.interval > maxTimeSpan || firstDue > maxTimeSpan * 2 || firstDue < -maxTimeSpan)
+        throw invalidJob("a due time is out of range", "use times within 100 years");
 }
 
 void to_json(Json& json, const JobSpec& spec)
--- a/test/job/scheduler-property-test.cpp
+++ b/test/job/scheduler-property-test.cpp
@@ -66,6 +66,15 @@
 // dependencies, and starts after an acknowledged end, while calls are lost or delayed and processes pause or crash.
 RC_GTEST_PROP(JobScheduler, keepsInvariantsUnderFailures, (std::uint32_t seed)) { checkWorld(seed, allFaults()); }
 
+// Guards against servers that a row of another writer ends: it names their machine or their id, and a start that is
+// later than theirs or in the future.
+RC_GTEST_PROP(JobScheduler, keepsInvariantsBesideOddRows, (std::uint32_t seed))
+{
+    auto faults = restartFaults();
+    faults.oddRows = 200;
+    checkWorld(seed, faults);
+}
+
 // Guards against a second run of a task whose server has started again: starts are answered by the new incarnation
 // before its row is read, and beside lost and delayed calls, unresponsive servers and new leaders.
 RC_GTEST_PROP(JobScheduler, keepsInvariantsWhenServersStartAgain, (std::uint32_t seed))
--- a/test/job/scheduler-test.cpp
+++ b/test/job/scheduler-test.cpp
@@ -830,6 +830,71 @@
     EXPECT_EQ(this->scheduler->jobStatus("wide"), JobStatus::Failed);
 }
 
+// Guards against two runs after another writer has left a row that names the machine of a server and a later start.
+TEST_F(SchedulerTest, rowOfAnotherWriterEndsNoServerOnItsMachine)
+{
+    this->clock.advance(Duration(10'000)); // nothing waits for an earlier leader any more
+    this->incarnations["a"] = WallTime(Duration(1000));
+    this->addServer("a");
+    this->addServer("b");
+    this->scheduler->addJob(this->job("j", this->step(1)), false);
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 1U);
+    this->confirmStarts();
+    const RunningTask running { this->starts[0].second.task, this->starts[0].second.run, "", 10, 0 };
+    this->clock.advance(Duration(10));
+    this->answerRenewal("a", { running }, {});
+    auto odd = this->record("odd", "machine-a");
+    odd.service = "log-shipper";
+    odd.startedAt = WallTime(Duration::max());
+    this->scheduler->addServer(odd);
+    this->scheduler->tick();
+    this->scheduler->renewAnswered("odd", this->clock.now(), OrderStatus::Unknown, {});
+    this->clock.advance(Duration(10));
+    this->answerRenewal("a", { running }, {});
+    EXPECT_EQ(this->starts.size(), 1U);
+    ASSERT_TRUE(this->scheduler->servers().contains("a"));
+    EXPECT_EQ(this->scheduler->serverOnMachine("machine-a")->record.id, "a");
+}
+
+// Guards against the same in a new leader, which would not wait for the server that the earlier one used.
+TEST_F(SchedulerTest, rowOfAnotherWriterEndsNoServerInUse)
+{
+    this->begin(2);
+    auto odd = this->record("odd", "machine-a");
+    odd.startedAt = WallTime(Duration::max());
+    this->scheduler->addServer(odd);
+    this->scheduler->addServerInUse(this->record("a"));
+    this->scheduler->addJob(this->job("j", this->step(1)), true);
+    this->addServer("b");
+    EXPECT_TRUE(this->starts.empty());
+    this->answerRenewal("a", { { { "j", 0, 0, 0 }, 1, "", 10, 0 } }, {});
+    EXPECT_TRUE(this->starts.empty());
+    EXPECT_TRUE(this->stops.empty());
+}
+
+// Guards against work that waits for the lease of a server whose machine runs another one.
+TEST_F(SchedulerTest, laterServerOnAMachineEndsTheEarlierOneOnceItHasAnswered)
+{
+    this->clock.advance(Duration(10'000)); // nothing waits for an earlier leader any more
+    this->incarnations["a"] = WallTime(Duration(1000));
+    this->addServer("a");
+    this->scheduler->addJob(this->job("j", this->step(1)), false);
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 1U);
+    this->confirmStarts();
+    this->incarnations["later"] = WallTime(Duration(2000));
+    this->scheduler->addServer(this->record("later", "machine-a"));
+    this->scheduler->tick();
+    EXPECT_TRUE(this->scheduler->servers().contains("a"));
+    this->answerRenewal("later", {}, {});
+    this->scheduler->serverUseSaved(this->scheduler->takeServerUseChanges(10));
+    this->scheduler->tick();
+    EXPECT_FALSE(this->scheduler->servers().contains("a"));
+    ASSERT_EQ(this->starts.size(), 2U);
+    EXPECT_EQ(this->starts[1].first, "later");
+}
+
 // Load: the leader is lost while many servers are unresponsive. Guards against teams that wait for seconds because
 // unresponsive servers may run tasks of other teams.
 TEST_F(SchedulerTest, unknownRunsCountOnlyForTeamsThatMayHaveThem)
--- a/test/job/scheduling-leaders.cpp
+++ b/test/job/scheduling-leaders.cpp
@@ -54,6 +54,11 @@
         scheduler.addServer(server.row);
         leader.knownServers[id] = server.row.startedAt;
     }
+    // The table holds the latest odd row of each key; every leader reads them as it loads.
+    for (; leader.readOddRows < this->oddRows.size(); ++leader.readOddRows) {
+        if (!this->servers.contains(this->oddRows[leader.readOddRows].id))
+            scheduler.addServer(this->oddRows[leader.readOddRows]);
+    }
     for (const auto& [id, job] : this->jobs) {
         if (job.endedState)
             scheduler.addEndedJob(id, *job.endedState, this->progress.at(id).version);
@@ -181,6 +186,8 @@
             }
         }
     }
+    for (; leader->readOddRows < this->oddRows.size(); ++leader->readOddRows)
+        scheduler.addServer(this->oddRows[leader->readOddRows]);
     this->listMachines(leader);
     if (now - leader->confirmedAt < maxTimeWithoutStore) {
         if (now - leader->tickAt >= tickInterval) {
--- a/test/job/scheduling-world.cpp
+++ b/test/job/scheduling-world.cpp
@@ -181,6 +181,8 @@
             this->restartServer(server, Duration(0), Duration(0));
         else if (this->faults.serverRestarts > 0 && !server.isDark(now) && happens(this->faults.serverRestarts))
             this->restartServer(server, Duration(this->pick(50, 1500)), Duration(this->pick(0, 1500)));
+        if (this->faults.oddRows > 0 && happens(this->faults.oddRows))
+            this->addOddRow(server);
     }
     if (happens(this->faults.cancellations) && !this->jobs.empty()) {
         auto job = std::next(this->jobs.begin(), this->pick(0, static_cast<int>(this->jobs.size()) - 1));
@@ -209,6 +211,17 @@
         this->at(this->manual.now() + darkTime + registrationDelay, write);
 }
 
+void SchedulingWorld::addOddRow(const FakeServer& server)
+{
+    auto row = server.record;
+    if (this->pick(0, 1) == 0)
+        row.id = fmt::format("odd-{}", this->oddRows.size());
+    if (this->pick(0, 1) == 0)
+        row.service = "log-shipper";
+    row.startedAt = this->pick(0, 1) == 0 ? WallTime(Duration::max()) : row.startedAt + Duration(this->pick(1, 5000));
+    this->oddRows.push_back(std::move(row));
+}
+
 void SchedulingWorld::endRun(FakeServer& server, const TaskId& id, RunEnd end)
 {
     const auto run = server.running.at(id);
@@ -240,7 +253,6 @@
     std::function<Work(FakeServer&)> execute, std::function<void(OrderStatus)> onNoAnswer)
 {
     const auto now = this->manual.now();
-    auto& server = this->servers.at(id);
     const auto toLeader = [this, leader](Duration after, Work work) {
         this->at(this->manual.now() + after, [this, leader, work = std::move(work)] {
             // A paused process handles received answers when it resumes.
@@ -250,6 +262,9 @@
                 work();
         });
     };
+    if (!this->servers.contains(id))
+        return toLeader(callTimeout, [onNoAnswer] { onNoAnswer(OrderStatus::Unknown); });
+    auto& server = this->servers.at(id);
     const bool cut = leader->partitionedFromServersUntil > now || server.partitionedUntil > now;
     const bool late = this->chance(this->faults.delayedCalls);
     const bool lostRequest = cut || this->chance(this->faults.lostRequests);
--- a/test/job/scheduling-world.h
+++ b/test/job/scheduling-world.h
@@ -35,6 +35,7 @@
     // Dark for a while, then a new incarnation, whose row follows later. Only then are machines listed, so that the
     // sequences of known seeds stay what they were.
     int serverRestarts = 0;
+    int oddRows = 0; // rows of another writer that name the machine of a server, or the server itself
     int serverPartitions = 0; // from every leader
     int cancellations = 0;
 };
@@ -104,6 +105,7 @@
         TimePoint partitionedFromStoreUntil;
         std::map<std::string, WallTime> knownServers; // start of the incarnation that the leader knows
         TimePoint machinesListedAt;
+        std::size_t readOddRows = 0;
         bool storing = false;
         bool dead = false;
     };
@@ -126,6 +128,7 @@
     void step();
     void injectFaults();
     void restartServer(FakeServer& server, Duration darkTime, Duration registrationDelay);
+    void addOddRow(const FakeServer& server);
     // Sends the leader a list of the machines, if it waits for a server.
     void listMachines(const std::shared_ptr<Leader>& leader);
     void advanceServer(FakeServer& server);
@@ -175,6 +178,7 @@
     std::map<std::string, StoredRow> progress;
     std::map<std::string, ServerRecord> serversInUse;
     TimePoint lastHeartbeatAt;
+    std::vector<ServerRecord> oddRows; // read by every leader, once
 
     std::vector<std::shared_ptr<Leader>> leaders;
     int startCount = 0;
--- a/test/platform/server-calls-test.cpp
+++ b/test/platform/server-calls-test.cpp
@@ -64,4 +64,43 @@
     EXPECT_FALSE(earlierIsAnswered);
 }
 
+// Guards against an answer of a server, or of another program at its address, that ends the process.
+TEST(ServerCalls, malformedAnswersAreNoAcceptance)
+{
+    boost::asio::io_context context;
+    io::AsyncHttpClient client(context, systemClock());
+    std::vector<io::HttpResponse> answers {
+        { 409, {}, R"({"reason":5})" },
+        { 409, {}, "[" },
+        { 200, {}, R"({"clock_ms":1e300})" },
+        { 200, {}, R"({"clock_ms":1,"born":1e300})" },
+        { 200, {}, R"({"clock_ms":1,"running":[["j.0.0.0",99999999999,"",0]]})" },
+        { 200, {}, R"({"clock_ms":1,"finished":[[-1,"j.0.0.0",1,"done",""]]})" },
+        { 200, {}, R"({"clock_ms":1,"running":)" + std::string(9000, '[') + "}" },
+    };
+    std::size_t next = 0;
+    io::CallerHooks hooks;
+    hooks.bodyLimitBytes = [](std::string_view) { return 10'000; };
+    hooks.handle = [&](const io::HttpRequest&, const io::Respond& respond) {
+        respond(answers[next++]);
+        return std::function<void()>();
+    };
+    hooks.reject = [](int status, std::string_view, std::string_view) { return io::HttpResponse { status, {}, "" }; };
+    io::CallerServer server(context, Endpoint { "127.0.0.1", 0 }, io::CallerLimits {}, std::move(hooks));
+    const auto calls = makeServerCalls(client);
+    ServerRecord record;
+    record.id = "server";
+    record.address = { "127.0.0.1", server.port() };
+    const auto end = std::chrono::steady_clock::now() + testTimeout;
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        std::optional<OrderStatus> status;
+        calls.renewLease(record, { 1, 0, std::nullopt, Duration(0) },
+            [&status](OrderStatus answer, const RenewReport&) { status = answer; });
+        while (!status && std::chrono::steady_clock::now() < end)
+            context.run_one_for(std::chrono::milliseconds(20));
+        ASSERT_TRUE(status);
+        EXPECT_NE(*status, OrderStatus::Accepted) << answers[index].body;
+    }
+}
+
 } // namespace waxwinglug::wire
--- a/test/platform/wire-test.cpp
+++ b/test/platform/wire-test.cpp
@@ -1,7 +1,9 @@
 // Tests the formats of the platform: decoding of valid input and rejection of malformed input.
 #include "wire.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace waxwinglug::wire {
 namespace {
@@ -100,4 +102,82 @@
         EXPECT_FALSE(formats.decodeServer(row("i-1", malformed))) << malformed;
 }
 
+// Guards against a number that is converted out of the range of its type, which gives other values on other processors,
+// and against one that makes sums overflow.
+TEST(Wire, numbersOutOfRangeAreNotDecoded)
+{
+    const auto formats = makeFormats();
+    for (const auto* number : { "1e300", "-1e300", "9223372036854775808", "18446744073709551615", "1e19", "\"5\"" }) {
+        const auto born = fmt::format(R"({{"service":"s","addr":"10.0.0.1:80","zone":"z","state":"ready",
+            "capacity":{{"cpu":1}},"labels":[],"born":{}}})",
+            number);
+        EXPECT_FALSE(formats.decodeServer(row("i-1", born))) << number;
+        const auto capacity = fmt::format(R"({{"service":"s","addr":"10.0.0.1:80","zone":"z","state":"ready",
+            "capacity":{{"cpu":{}}},"labels":[]}})",
+            number);
+        EXPECT_FALSE(formats.decodeServer(row("i-1", capacity))) << number;
+        const auto job = fmt::format(R"({{"steps":[{{"estimate_ms":{}}}]}})", number);
+        EXPECT_THROW(validateJob(formats.decodeJob(job)), Error) << number;
+        const auto wave = fmt::format(R"({{"cohort":{},"machines":[]}})", number);
+        EXPECT_FALSE(formats.decodeWave(row("wave/1", wave))) << number;
+    }
+    for (const auto* address : { "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:0", "10.0.0.1:99999999999999999999" }) {
+        const auto text = fmt::format(R"({{"service":"s","addr":"{}","zone":"z","state":"ready","capacity":{{}},
+            "labels":[]}})",
+            address);
+        EXPECT_FALSE(formats.decodeServer(row("i-1", text))) << address;
+    }
+    EXPECT_FALSE(formats.decodeServer(row("i-1", R"({"service":"s","addr":"10.0.0.1:80","zone":"z","state":"ready",
+        "capacity":{"cpu":-5},"labels":[]})")));
+}
+
+// Guards against one message of a caller, or one row, that exhausts the stack of the process.
+TEST(Wire, deeplyNestedTextIsNotDecoded)
+{
+    const auto formats = makeFormats();
+    constexpr std::size_t depth = 120'000;
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    EXPECT_THROW(formats.decodeJob(R"({"steps":[)" + nested + "]}"), Error);
+    EXPECT_FALSE(formats.decodeConfig(row("config", R"({"version":1,"routes":)" + nested + "}")));
+    EXPECT_FALSE(formats.decodeServer(row("i-1", R"({"service":)" + nested + "}")));
+    EXPECT_TRUE(
+        parseBody(R"({"text":"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[\\\"[["})"));
+}
+
+// Guards against a row or a body that ends the process: valid texts with random changes, and random bytes.
+RC_GTEST_PROP(Wire, alteredTextsAreDecodedOrRefused, ())
+{
+    static const std::vector<std::string> valid {
+        R"({"service":"s","addr":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":2},
+            "labels":["a","r1"],"host_id":"m","born":5})",
+        R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","service":"s"}],"services":[{"name":"s"}],
+            "tenants":[{"name":"t","api_keys":["k"],"weight":4,"cap":{"cpu":10}}],"limits":{"max_body_bytes":99}})",
+        R"({"cohort":1,"machines":["m"],"complete_by_s":20,"cap":2})",
+        R"({"spec":"x","times":2,"first_ms":1000,"interval_ms":500,"steps":[{"count":4,"cpu":500,"estimate_ms":900},
+            {"count":2,"after":[0],"target_ms":40}]})",
+    };
+    static const std::vector<std::string> pieces { "1e300", "-1", "18446744073709551615", "null", "[]", "{}", "\"",
+        "\\", "[[[[[[[[", "\xff", "", "0.5", "true", "{\"a\":", ",", ":" };
+    auto text = *rc::gen::elementOf(valid);
+    const auto changes = *rc::gen::inRange(1, 6);
+    for (int change = 0; change < changes; ++change) {
+        const auto place = *rc::gen::inRange<std::size_t>(0, text.size() + 1);
+        const auto length = *rc::gen::inRange<std::size_t>(0, 8);
+        const auto piece = *rc::gen::oneOf(rc::gen::elementOf(pieces), rc::gen::arbitrary<std::string>());
+        text.replace(place, std::min(length, text.size() - place), piece);
+    }
+    const auto formats = makeFormats();
+    formats.decodeServer(row("i-1", text));
+    formats.decodeConfig(row("config", text));
+    formats.decodeWave(row("wave/1", text));
+    formats.decodeEvacuation(row("evacuate/z", text));
+    try {
+        const auto job = formats.decodeJob(text);
+        validateJob(job);
+        RC_ASSERT(fromJson<JobSpec>(toJson(job)).steps.size() == job.steps.size());
+    } catch (const Error& error) {
+        RC_ASSERT(error.kind() == ErrorKind::Invalid);
+    }
+}
+
 } // namespace waxwinglug::wire
