Finish jobs of a removed queue after a change of leaders

Cause: the service and the number of failed runs of a job were only those of its queue in the present configuration; a new leader does not know them for a queue that is gone.

Change: they are stored with the job when it is accepted and count while the configuration does not name the queue.

--- a/include/waxwinglug/work.h
+++ b/include/waxwinglug/work.h
@@ -91,6 +91,10 @@
     WallTime firstDue {};
     Duration interval { 0 };
     WallTime acceptedAt {};
+    // Settings of the queue when the job was accepted. They count while the configuration does not name the queue: it
+    // was removed, or the leader has not received it yet. An empty service: stored by an earlier version.
+    std::string service {};
+    int maxFailedRuns = 1;
 };
 
 enum class JobStatus {
--- a/src/io/process/job-gateway.cpp
+++ b/src/io/process/job-gateway.cpp
@@ -145,6 +145,8 @@
         job.id = exchange->job;
         job.queue = exchange->queue->name;
         job.team = exchange->team;
+        job.service = exchange->queue->service;
+        job.maxFailedRuns = exchange->queue->maxFailedRuns;
         job.acceptedAt = this->clock.wallNow();
         validateJob(job);
         exchange->jobValue = toJson(job);
--- a/src/job/job-table.cpp
+++ b/src/job/job-table.cpp
@@ -251,6 +251,8 @@
     : spec(std::move(jobSpec))
     , criticalPath(longestPath(spec))
     , isLongRunning(std::ranges::any_of(spec.steps, &StepSpec::longRunning))
+    , service(spec.service)
+    , maxFailedRuns(std::max(spec.maxFailedRuns, 1))
 {
 }
 
--- a/src/job/job-table.h
+++ b/src/job/job-table.h
@@ -109,7 +109,8 @@
     std::uint64_t rowVersion = 0;
     // Sequence number of the first change that is not stored yet; 0: all changes are stored.
     std::uint64_t changeSequence = 0;
-    // Settings of the job's queue. They are kept after the queue was removed from the configuration.
+    // Settings of the job's queue. They are kept after the queue was removed from the configuration; a new leader then
+    // knows those with which the job was accepted.
     std::string service;
     int priority = 0;
     int maxFailedRuns = 1;
--- a/src/job/work.cpp
+++ b/src/job/work.cpp
@@ -149,7 +149,8 @@
     json = Json { { "id", spec.id }, { "queue", spec.queue }, { "team", spec.team }, { "command", spec.command },
         { "steps", std::move(steps) }, { "occurrences", spec.occurrences },
         { "first", spec.firstDue.time_since_epoch().count() }, { "interval", spec.interval.count() },
-        { "acceptedAt", spec.acceptedAt.time_since_epoch().count() } };
+        { "acceptedAt", spec.acceptedAt.time_since_epoch().count() }, { "service", spec.service },
+        { "maxFailedRuns", spec.maxFailedRuns } };
 }
 
 void from_json(const Json& json, JobSpec& spec)
@@ -165,6 +166,8 @@
     spec.firstDue = WallTime(Duration(json.at("first").get<std::int64_t>()));
     spec.interval = Duration(json.at("interval").get<std::int64_t>());
     spec.acceptedAt = WallTime(Duration(json.at("acceptedAt").get<std::int64_t>()));
+    spec.service = json.value("service", std::string());
+    spec.maxFailedRuns = json.value("maxFailedRuns", 1);
     validateJob(spec);
 }
 
--- a/test/job/scheduler-test.cpp
+++ b/test/job/scheduler-test.cpp
@@ -895,6 +895,28 @@
     EXPECT_EQ(this->starts[1].first, "later");
 }
 
+// Guards against accepted jobs that are lost when their queue is removed and the leader changes afterwards: the new one
+// runs them with the settings with which they were accepted.
+TEST_F(SchedulerTest, jobOfARemovedQueueIsFinishedByANewLeader)
+{
+    this->begin(2);
+    auto spec = this->job("j", this->step(1));
+    spec.queue = "removed";
+    spec.service = "press";
+    spec.maxFailedRuns = 2;
+    this->scheduler->addJob(fromJson<JobSpec>(toJson(spec)), true);
+    this->addServer("a");
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 1U);
+    this->confirmStarts();
+    this->clock.advance(Duration(200));
+    this->answerRenewal("a", {}, { this->ended("a", this->starts[0].second, RunEnd::Failed) });
+    EXPECT_EQ(this->scheduler->jobStatus("j"), JobStatus::Running) << "its queue allowed two failed runs";
+    this->clock.advance(Duration(200));
+    this->answerRenewal("a", {}, {});
+    EXPECT_EQ(this->starts.size(), 2U);
+}
+
 // Load: the leader is lost while many servers are unresponsive. Guards against teams that wait for seconds because
 // unresponsive servers may run tasks of other teams.
 TEST_F(SchedulerTest, unknownRunsCountOnlyForTeamsThatMayHaveThem)
