Let servers of the simulation write their rows again

The trace shows servers that an odd row under their key had moved to another service, for good, because the servers of the simulation wrote their rows only once. PROTOCOL: "An executor writes there approximately every `heartbeat_ms`." The servers do so now, where odd rows are on; the checks are unchanged.

--- a/test/job/scheduling-leaders.cpp
+++ b/test/job/scheduling-leaders.cpp
@@ -14,6 +14,7 @@
     constexpr Duration maxTimeWithoutStore { 5000 };
     constexpr Duration tickInterval { 50 };
     constexpr Duration machineListInterval { 300 };
+    constexpr Duration serverHeartbeatInterval { 1500 };
     constexpr const char* service = "press";
     constexpr std::size_t rowsPerCommit = 40;
 
@@ -175,6 +176,11 @@
             if (job.cancelled)
                 scheduler.cancelJob(id);
         }
+        // Servers write their rows again with each heartbeat, also over an odd row under their key.
+        if (this->faults.oddRows > 0 && now - leader->serversReadAt >= serverHeartbeatInterval) {
+            leader->serversReadAt = now;
+            leader->knownServers.clear();
+        }
         for (const auto& [id, server] : this->servers) {
             auto known = leader->knownServers.find(id);
             if (!server.isRegistered(now)) {
--- a/test/job/scheduling-world.h
+++ b/test/job/scheduling-world.h
@@ -106,6 +106,7 @@
         std::map<std::string, WallTime> knownServers; // start of the incarnation that the leader knows
         TimePoint machinesListedAt;
         std::size_t readOddRows = 0;
+        TimePoint serversReadAt;
         bool storing = false;
         bool dead = false;
     };
