--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -38,8 +38,8 @@
         self.file = open(pathlib.Path(folder) / "record.txt", "w", encoding="utf-8")
 
     def __call__(self, event, **fields):
-        values = " ".join(f"{key}={value}" for key, value in fields.items())
-        self.file.write(f"{now():8.3f} {event} {values}\n")
+        values = "".join(f" {key}={value}" for key, value in fields.items())
+        self.file.write(f"{now():.3f} {event}{values}\n")
 
     def close(self):
         self.file.close()
@@ -227,9 +227,53 @@
         return 200, {"rows": rows, "row_version": known, "now_ms": int(now() * 1000)}
 
 
+class Link:
+    """Proxy between one node and the store. While it is cut, it forwards nothing and answers nothing; bytes that it
+    holds are lost if their sender closes the connection."""
+
+    def __init__(self, fleet, port):
+        self.fleet, self.port = fleet, port
+        self.is_cut = False
+        self.commits = 0
+
+    async def live(self):
+        await asyncio.start_server(self.connection, "127.0.0.1", self.port, backlog=500)
+
+    async def connection(self, reader, writer):
+        try:
+            store_reader, store_writer = await asyncio.open_connection("127.0.0.1", self.fleet.store_port)
+        except OSError:
+            return writer.close()
+        await asyncio.gather(self.pump(reader, store_writer, True), self.pump(store_reader, writer, False))
+
+    async def pump(self, reader, writer, counts):
+        try:
+            while data := await reader.read(65536):
+                if counts:
+                    self.commits += data.count(b"POST /-/rows-tx")
+                while self.is_cut:
+                    await asyncio.sleep(0.02)
+                    if reader.at_eof() or reader.exception():
+                        return
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            writer.close()
+
+
+def duration(spec, task):
+    """Milliseconds of work. "even=N" holds for the occurrences with an even number."""
+    words = dict(word.split("=") for word in spec.split() if "=" in word)
+    occurrence = int(task.split(".")[1])
+    return int(words.get("even" if occurrence % 2 == 0 and "even" in words else "ms", "500"))
+
+
 class Run:
     def __init__(self, task, number, ms, lasts):
         self.task, self.number, self.ms, self.lasts = task, number, ms, lasts
+        self.saved = ""  # the latest checkpoint
         self.began = now()
         self.timer = None
         self.ending = False
@@ -257,6 +301,7 @@
         self.finished = []
         self.last_end = 0
         self.lease_until = 0
+        self.lapses = []  # when its lease ran out
         self.end_listed = asyncio.Event()
 
     def clock_ms(self):
@@ -276,7 +321,10 @@
                 await self.fleet.store.put("servers", self.id, self.beat())
             ticks += 1
             await asyncio.sleep(HEARTBEAT_MS / 1000 / 30)
-            if self.running and self.clock_ms() > self.lease_until:
+            if self.clock_ms() > self.lease_until > 0:
+                self.lease_until = 0
+                self.lapses.append(now())
+                self.fleet.record("lease lapsed", executor=self.id, running=len(self.running))
                 for run in list(self.running.values()):
                     self.end(run, "lapsed")
 
@@ -287,7 +335,7 @@
         if run.timer:
             run.timer.cancel()
         self.last_end += 1
-        self.finished.append([self.last_end, run.task, run.number, how, ""])
+        self.finished.append([self.last_end, run.task, run.number, how, run.saved])
         self.fleet.on_end(self, run, how)
         self.end_listed.set()
 
@@ -331,17 +379,20 @@
             return refuse("late")
         self.extend(request["until_ms"])
         lasts = request["spec"].startswith("lasts")
-        found = re.search(r"ms=(\d+)", request["spec"])
-        run = Run(task, number, int(found.group(1)) if found else 500, lasts)
+        run = Run(task, number, duration(request["spec"], task), lasts)
+        run.saved = request.get("checkpointed", "")
         self.running[task] = run
         self.highest[task] = number
         self.fleet.on_start(self, run)
+        self.work(run)
+        return 200, {"clock_ms": self.clock_ms()}
+
+    def work(self, run):
         loop = asyncio.get_running_loop()
         if self.fails_all:
-            run.timer = loop.call_later(0.1, self.end, run, "failed")
-        elif not lasts:
+            run.timer = loop.call_later(0.02, self.end, run, "failed")
+        elif not run.lasts:
             run.timer = loop.call_later(run.ms / 1000, self.end, run, "done")
-        return 200, {"clock_ms": self.clock_ms()}
 
     def stop(self, request):
         task, number = request["task"], request["run_id"]
@@ -365,7 +416,7 @@
                 await asyncio.wait_for(self.end_listed.wait(), request["wait_ms"] / 1000)
             except asyncio.TimeoutError:
                 pass
-        running = [[run.task, run.number, "", run.percent(), 10 if run.lasts else 100]
+        running = [[run.task, run.number, run.saved, run.percent(), 10 if run.lasts else 100]
                    for run in self.running.values()]
         return 200, {"clock_ms": self.clock_ms(), "born": self.born, "running": running,
                      "finished": self.finished[:500]}
@@ -376,7 +427,8 @@
 
     def __init__(self, fleet, name, zone, ports):
         self.fleet, self.name, self.zone = fleet, name, zone
-        self.front, self.ready, self.control = ports
+        self.front, self.ready, self.control, link = ports
+        self.link = Link(fleet, link)
         self.process = None
         self.log = None
 
@@ -386,7 +438,7 @@
         return {"node": self.name, "zone": self.zone, "limits": {"cpu_share": 0.25},
                 "listen": {"front": f"127.0.0.1:{self.front}", "ready": f"127.0.0.1:{self.ready}",
                            "control": f"127.0.0.1:{self.control}"},
-                "platform": {"addr": f"127.0.0.1:{self.fleet.store_port}", "row_bytes": 65536},
+                "platform": {"addr": f"127.0.0.1:{self.link.port}", "row_bytes": 65536},
                 "cloud": {"addr": f"127.0.0.1:{self.fleet.cloud_port}", "duty_per_s": 64.0}, "bounds": bounds}
 
     async def start(self):
@@ -437,11 +489,11 @@
         self.record = Record(folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store()
-        ports = free_ports(2 + len(executors) + 3 * nodes)
+        ports = free_ports(2 + len(executors) + 4 * nodes)
         self.store_port, self.cloud_port = ports.pop(), ports.pop()
         self.executors = [Executor(self, name, service, ports.pop(), cpu, f"r1-{index // 4}")
                           for index, (name, service) in enumerate(executors)]
-        self.nodes = [Node(self, f"edge-{index}", "zone-a", [ports.pop() for _ in range(3)]) for index in range(nodes)]
+        self.nodes = [Node(self, f"edge-{index}", "zone-a", [ports.pop() for _ in range(4)]) for index in range(nodes)]
         self.host = "pule25.example"
         self.key = "sjnbanfqasnmgkcuyj8p"
         self.starts = {}  # by task: [(time, executor, run)]
@@ -452,17 +504,17 @@
 
     def on_start(self, executor, run):
         self.starts.setdefault(run.task, []).append((now(), executor.id, run.number))
-        self.record("start", task=run.task, run=run.number, executor=executor.id)
+        self.record(f"start {run.task} {run.number} {executor.id}")
 
     def on_end(self, executor, run, how):
         self.ends.setdefault(run.task, []).append((now(), executor.id, run.number, how))
-        self.record("end", task=run.task, run=run.number, executor=executor.id, how=how)
+        self.record(f"end {run.task} {run.number} {executor.id} {how}")
 
     def on_acked(self, executor, ends):
         for _, task, number, how, _ in ends:
             self.acked.setdefault(task, []).append((now(), executor.id, number, how))
 
-    def config(self, routes, services, cap_cpu=0):
+    def config(self, routes, services):
         return {"version": 7,
                 "routes": [{"name": f"r-{service}", "host": self.host, "path_prefix": f"/{service}/", "kind": "unsafe",
                             "timeout_ms": 3000, "goal_ms": 600, "priority": 0, "service": service, "retries": retries,
@@ -472,7 +524,7 @@
                 "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
                            "idle_timeout_ms": 15000},
                 "tenants": [{"name": "cugo130", "api_keys": [self.key], "priority": 1, "weight": 49,
-                             "cap": {"cpu": cap_cpu, "mem_mb": 0, "gpu": 0}}]}
+                             "cap": {"cpu": 1_000_000, "mem_mb": 1_000_000, "gpu": 0}}]}
 
     async def machines(self, method, target, headers, body):
         if method != "GET":
@@ -489,16 +541,37 @@
         for executor in self.executors:
             self.background.append(asyncio.create_task(executor.live()))
         for node in self.nodes:
+            await node.link.live()
             await node.start()
+        await self.wait_until_ready()
+        await asyncio.sleep(3)
+
+    async def leader(self):
+        """The node that writes most often under a condition: a leader does so several times a second."""
+        for node in self.nodes:
+            node.link.commits = 0
+        await asyncio.sleep(1.5)
+        return max(self.nodes, key=lambda node: node.link.commits)
+
+    async def wait_until_ready(self):
         end = now() + 15
         while now() < end:
             ready = [(await call(node.ready, "GET", "/-/readyz"))[0] for node in self.nodes]
             if all(status == 200 for status in ready):
-                break
+                return
             await asyncio.sleep(0.2)
-        else:
-            raise CannotRun("a node is not ready within 15 s")
-        await asyncio.sleep(3)
+        raise CannotRun("a node is not ready within 15 s")
+
+    async def roll(self):
+        """Planned work: each process gets SIGTERM in turn, ends, and is started again."""
+        for node in self.nodes:
+            node.signal(signal.SIGTERM)
+            try:
+                await asyncio.wait_for(node.process.wait(), 6)
+            except asyncio.TimeoutError:
+                await node.kill()
+            await node.start()
+            await self.wait_until_ready()
 
     async def send(self, method, service, job="", body=None, deadline=3.0, tries=4):
         """A client's call: after no answer, a 5xx or a 429 it asks another node, as PROTOCOL.md says."""
@@ -508,8 +581,7 @@
             self.next_node += 1
             headers = {"Host": self.host, "Key": self.key, "Deadline-Ms": str(int(deadline * 1000))}
             status, answer = await call(node.front, method, f"/{service}/{job}", headers, body, deadline + 0.2)
-            self.record("call", method=method, path=f"/{service}/{job}", node=node.name, status=status,
-                        answer=json.dumps(answer))
+            self.record(f"{method} /{service}/{job} {node.name} {status}", **(answer or {}))
             if status and status not in (429, 502, 503, 504):
                 break
             await asyncio.sleep(0.3)
@@ -531,6 +603,25 @@
         self.record.close()
 
 
+def started_again(fleet):
+    """Tasks that were started after a run of them had ended `done`, where that end was acknowledged and the lease of the
+    executor had not lapsed between the two."""
+    broken = []
+    lapses = {each.id: each.lapses for each in fleet.executors}
+    for task, acked in fleet.acked.items():
+        for acked_at, executor, number, how in acked:
+            if how != "done":
+                continue
+            ended = next(end[0] for end in fleet.ends[task] if end[1:3] == (executor, number))
+            if any(ended <= lapse <= acked_at for lapse in lapses[executor]):
+                continue
+            later = [start for start in fleet.starts[task] if start[0] > ended]
+            if later:
+                broken.append(f"TWICE: {task} run {number} ended done on {executor} at {ended:.3f} s, which was "
+                              f"acknowledged, and run {later[0][2]} began on {later[0][1]} at {later[0][0]:.3f} s")
+    return broken
+
+
 def job_id(number):
     return f"{(number * 0x9E3779B97F4A7C15 + 0x1234567) % (1 << 64):016x}"
 
