--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -631,7 +631,9 @@
 
     async def main():
         # Connections that end with the case are no problem of it.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         fleet = Fleet(folder, **options)
         try:
             return await asyncio.wait_for(case(fleet), limit_s)
@@ -640,7 +642,7 @@
 
     try:
         broken = asyncio.run(main())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # any other end would count as a broken rule
         print(f"the case could not run: {error!r}")
         sys.exit(2)
     for line in broken:
