Give suspected servers tasks again beside long ones, and bound suspicion

Cause: an ejected server was probed only while it ran nothing at all, and only an end "done" cleared it. A task that lasts, or takes minutes, keeps it from both. Nothing compared servers, so jobs that fail wherever they run ejected sound servers too, and nothing bounded how many were out.

Change: the suspicion of a server is a class of its own (server-suspicion.h). One task probes the server beside others; a probe that runs for longer than the failed runs did also clears it. Failures count only while at most half of the service's servers fail, at most half of them are out, and a job with nothing running that fits on no other server starts on an ejected one after 2 s. Log lines name the servers, the reason, and the jobs that wait for them.

--- a/src/job/job-table.h
+++ b/src/job/job-table.h
@@ -7,6 +7,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -67,6 +68,8 @@
     int done = 0;
     int waiting = 0; // tasks in phase Waiting
     int doneChanges = 0; // number of changes of `done`
+    // Since when only suspect servers have had room for a task, without a start in between.
+    std::optional<TimePoint> unplacedSince;
     bool isComplete() const { return this->done == static_cast<int>(this->tasks.size()); }
 };
 
--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -66,6 +66,8 @@
     const auto reserved = reservedResources(job.spec.steps[step]);
     this->teamAllocations[job.spec.team] += job.spec.steps[step].taskResources;
     server.addRun(id, { &job, occurrence.number, static_cast<int>(step), &task, run, reserved, 0 });
+    server.suspicion.taskStarted(id, now);
+    progress.unplacedSince.reset();
     const auto until = server.clockAt(now) + this->rules.startValidity.count();
     server.leaseUntil = std::max(server.leaseUntil, until);
     this->hooks.log("task started",
@@ -113,7 +115,7 @@
     if (status == OrderStatus::Unhealthy || status == OrderStatus::NoCapacity || status == OrderStatus::NotSent)
         server.backoffUntil = now + refusingServerBackoff;
     if (status == OrderStatus::Unhealthy)
-        this->recordServerFailure(server, job, "it refused a start");
+        this->recordServerFailure(server, job, task.startedAt, "it refused a start");
     this->releaseRun(server, run);
     task.notBefore = now + refusedStartDelay;
     if (status == OrderStatus::OtherIncarnation)
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -31,6 +31,14 @@
 
     constexpr std::string_view teamAtLimit = "the team is at its limit";
     constexpr std::string_view noServerFits = "no server has enough free capacity";
+    constexpr std::string_view onlySuspectsFit = "servers with enough free capacity are suspected of failing tasks";
+    // Time after which a job with nothing running starts on a suspect server if no other has room.
+    constexpr Duration maxSuspicionWait { 2000 };
+    // Largest part of a service's servers that may be out on suspicion at once. When most servers fail, that says more
+    // about what they run. The part is larger than that of BackendSelector, because a failed run uses up one of the few
+    // attempts of its task, and a job that fits on no other server still starts on an ejected one.
+    constexpr std::size_t maxSuspectPercent = 50;
+    constexpr std::size_t maxLoggedSuspects = 20; // names in one line
     // Server rows that expired during an outage of the store are back about 2 s after it. Until then a server that
     // answers is still used.
     constexpr Duration reregistrationGrace { 2500 };
@@ -116,12 +124,11 @@
     this->logWaits();
 }
 
-bool JobScheduler::isUsable(const Server& server, TimePoint now) const
+bool JobScheduler::isAvailable(const Server& server, TimePoint now) const
 {
     const bool isRegistered = server.registered || now - server.unregisteredAt < reregistrationGrace;
     return isRegistered && server.useRecorded && !server.record.draining && server.isReachable() && !server.cordoned
-        && !this->isEvacuated(server.record.dataCentre) && server.orphans.empty() && now >= server.backoffUntil
-        && now >= server.ejectedUntil && !(server.probing && !server.runs.empty());
+        && !this->isEvacuated(server.record.dataCentre) && server.orphans.empty() && now >= server.backoffUntil;
 }
 
 // Returns true if a server used by the previous leader has not answered yet, or has not listed all ends. It may run
@@ -196,25 +203,29 @@
     return ready;
 }
 
-std::vector<Server*> JobScheduler::usableServers(const std::string& service) const
+JobScheduler::Candidates JobScheduler::findCandidates(std::string_view service) const
 {
-    std::vector<Server*> usable;
+    Candidates found;
     const auto servers = this->serviceServers.find(service);
     if (servers == this->serviceServers.end())
-        return usable;
+        return found;
     const auto now = this->clock.now();
-    std::ranges::copy_if(servers->second, std::back_inserter(usable),
-        [this, now](const Server* server) { return this->isUsable(*server, now); });
-    return usable;
+    for (auto* server : servers->second) {
+        if (this->isAvailable(*server, now))
+            (server->suspicion.mayGetTask(now) ? found.usable : found.suspects).push_back(server);
+    }
+    return found;
 }
 
 void JobScheduler::dispatchService(const std::string& service)
 {
     this->unplaceableNeeds.clear();
-    const auto candidates = this->usableServers(service);
+    this->unplaceableOnSuspects.clear();
+    auto [candidates, ejected] = this->findCandidates(service);
+    this->suspects = std::move(ejected);
+    if (this->recordsWaits && !this->suspects.empty())
+        this->logSuspects(service);
     const auto ready = this->readySteps(service, candidates);
-    if (candidates.empty())
-        return;
     for (const auto& step : ready) {
         if (step.job->spec.steps[step.step].gang)
             this->placeGang(step, candidates);
@@ -267,22 +278,123 @@
         && within(total.accelerators, team->limit.accelerators);
 }
 
-bool JobScheduler::isUnplaceable(const Resources& need) const
+bool JobScheduler::isUnplaceable(std::span<const Resources> unplaceable, const Resources& need)
 {
-    return std::ranges::any_of(
-        this->unplaceableNeeds, [&need](const Resources& smaller) { return smaller.fitsIn(need); });
+    return std::ranges::any_of(unplaceable, [&need](const Resources& smaller) { return smaller.fitsIn(need); });
 }
 
-void JobScheduler::recordUnplaceable(const StepSpec& step)
+void JobScheduler::recordUnplaceable(std::vector<Resources>& unplaceable, const StepSpec& step)
 {
     // The servers of a label, or without other tasks of the step, are not all candidates.
     if (!step.requiredLabel.empty() || step.maxTasksPerServer > 0)
         return;
     const auto need = reservedResources(step);
-    if (this->isUnplaceable(need))
+    if (isUnplaceable(unplaceable, need))
+        return;
+    std::erase_if(unplaceable, [&need](const Resources& larger) { return need.fitsIn(larger); });
+    unplaceable.push_back(need);
+}
+
+bool JobScheduler::mayUseSuspects(const ReadyStep& ready)
+{
+    if (this->suspects.empty())
+        return false;
+    auto& unplacedSince = ready.occurrence->steps[ready.step].unplacedSince;
+    const auto now = this->clock.now();
+    if (!unplacedSince)
+        unplacedSince = now;
+    // Each task that lasts serves by itself, so it does not matter whether others of its job run.
+    return now - *unplacedSince >= maxSuspicionWait
+        && (ready.job->spec.steps[ready.step].longRunning || !hasRuns(*ready.job));
+}
+
+Server* JobScheduler::chooseSuspect(const ReadyStep& ready, const Task& task)
+{
+    const auto& spec = ready.job->spec.steps[ready.step];
+    if (!this->mayUseSuspects(ready) || isUnplaceable(this->unplaceableOnSuspects, reservedResources(spec)))
+        return nullptr;
+    auto* server = this->chooseServer(ready, task, this->suspects, {}, SuspectUse::EarlyProbe);
+    if (!server)
+        recordUnplaceable(this->unplaceableOnSuspects, spec);
+    return server;
+}
+
+void JobScheduler::recordNoServer(const ReadyStep& ready)
+{
+    if (!this->recordsWaits)
         return;
-    std::erase_if(this->unplaceableNeeds, [&need](const Resources& larger) { return need.fitsIn(larger); });
-    this->unplaceableNeeds.push_back(need);
+    const auto need = reservedResources(ready.job->spec.steps[ready.step]);
+    const bool suspectFits = std::ranges::any_of(
+        this->suspects, [&need](const Server* server) { return need.fitsIn(server->freeCapacity()); });
+    this->recordWait(ready, suspectFits ? onlySuspectsFit : noServerFits);
+}
+
+void JobScheduler::logSuspects(const std::string& service) const
+{
+    std::string names;
+    for (const auto* server : std::span(this->suspects).first(std::min(this->suspects.size(), maxLoggedSuspects)))
+        names += (names.empty() ? "" : ",") + server->record.id;
+    this->hooks.log("backend servers get no tasks because they are suspected of failing them",
+        { { "service", service }, { "count", this->suspects.size() }, { "servers", names } });
+}
+
+void JobScheduler::logCleared(const Server& server, std::string_view reason) const
+{
+    this->hooks.log("backend server gets tasks again",
+        { { "server", server.record.id }, { "service", server.record.service }, { "reason", reason } });
+}
+
+JobScheduler::FailingServers JobScheduler::countFailingServers(std::string_view service) const
+{
+    FailingServers count;
+    const auto servers = this->serviceServers.find(service);
+    if (servers == this->serviceServers.end())
+        return count;
+    const auto now = this->clock.now();
+    for (const auto* server : servers->second) {
+        if (!this->isAvailable(*server, now))
+            continue;
+        ++count.members;
+        count.failing += server->suspicion.isFailing();
+    }
+    return count;
+}
+
+// At least one: with two servers, the other one shows whether the jobs are at fault.
+std::size_t JobScheduler::maxSuspectCount(std::size_t members)
+{
+    return std::max<std::size_t>(1, members * maxSuspectPercent / 100);
+}
+
+// Ends suspicions that a probe has refuted, and the oldest ones of a service that has become too small for them.
+void JobScheduler::reviewSuspicions()
+{
+    const auto now = this->clock.now();
+    for (const auto& [service, servers] : this->serviceServers) {
+        std::vector<Server*> suspected;
+        std::size_t members = 0;
+        for (auto* server : servers) {
+            if (!this->isAvailable(*server, now))
+                continue;
+            ++members;
+            if (!server->suspicion.isSuspect())
+                continue;
+            const auto* probe = server->suspicion.probeTask();
+            if (probe && server->runs.at(*probe).task->phase == TaskPhase::Running
+                && server->suspicion.hasProbeOutlivedFailures(now)) {
+                server->suspicion.acquit();
+                this->logCleared(*server, "a task on it has run for longer than those that failed");
+                continue;
+            }
+            suspected.push_back(server);
+        }
+        std::ranges::sort(suspected, {}, [](const Server* server) { return server->suspicion.ejectionStart(); });
+        const auto kept = std::min(suspected.size(), maxSuspectCount(members));
+        for (auto* server : std::span(suspected).first(suspected.size() - kept)) {
+            server->suspicion.endSuspicion();
+            this->logCleared(*server, "its service has too few others");
+        }
+    }
 }
 
 void JobScheduler::placeStep(const ReadyStep& ready, std::span<Server* const> candidates)
@@ -298,12 +410,15 @@
         if (!this->fitsTeamLimit(job, need))
             return this->recordWait(ready, teamAtLimit);
         const auto& spec = job.spec.steps[ready.step];
-        auto* server
-            = this->isUnplaceable(reservedResources(spec)) ? nullptr : this->chooseServer(ready, task, candidates, {});
+        auto* server = isUnplaceable(this->unplaceableNeeds, reservedResources(spec))
+            ? nullptr
+            : this->chooseServer(ready, task, candidates, {});
         if (!server) {
-            this->recordUnplaceable(spec);
-            return this->recordWait(ready, noServerFits);
+            recordUnplaceable(this->unplaceableNeeds, spec);
+            server = this->chooseSuspect(ready, task);
         }
+        if (!server)
+            return this->recordNoServer(ready);
         this->startTask(job, *ready.occurrence, ready.step, index, *server, this->nextRunNumber({ &task, 1 }));
     }
 }
@@ -323,25 +438,48 @@
         gangResources += spec.taskResources;
     if (!this->fitsTeamLimit(job, gangResources))
         return this->recordWait(ready, teamAtLimit);
-    if (this->isUnplaceable(reservedResources(spec)))
-        return this->recordWait(ready, noServerFits);
-    std::map<const Server*, Resources> planned;
     std::vector<Server*> chosen;
-    for (const auto& task : step.tasks) {
-        auto* server = this->chooseServer(ready, task, candidates, planned);
-        if (!server)
-            return this->recordWait(ready, noServerFits);
-        planned[server] += reservedResources(spec);
-        chosen.push_back(server);
+    if (!isUnplaceable(this->unplaceableNeeds, reservedResources(spec)))
+        chosen = this->chooseGangServers(ready, candidates, SuspectUse::Probe);
+    if (chosen.empty() && this->mayUseSuspects(ready)) {
+        std::vector<Server*> all(candidates.begin(), candidates.end());
+        all.insert(all.end(), this->suspects.begin(), this->suspects.end());
+        chosen = this->chooseGangServers(ready, all, SuspectUse::EarlyProbe);
     }
+    if (chosen.empty())
+        return this->recordNoServer(ready);
     const int run = this->nextRunNumber(step.tasks);
     for (std::size_t index = 0; index < chosen.size(); ++index)
         this->startTask(job, *ready.occurrence, ready.step, index, *chosen[index], run);
 }
 
+std::vector<Server*> JobScheduler::chooseGangServers(
+    const ReadyStep& ready, std::span<Server* const> candidates, SuspectUse suspectUse) const
+{
+    std::map<const Server*, Resources> planned;
+    std::vector<Server*> chosen;
+    for (const auto& task : ready.occurrence->steps[ready.step].tasks) {
+        auto* server = this->chooseServer(ready, task, candidates, planned, suspectUse);
+        if (!server)
+            return {};
+        planned[server] += reservedResources(ready.job->spec.steps[ready.step]);
+        chosen.push_back(server);
+    }
+    return chosen;
+}
+
 Server* JobScheduler::chooseServer(const ReadyStep& ready, const Task& task, std::span<Server* const> candidates,
-    const std::map<const Server*, Resources>& planned) const
+    const std::map<const Server*, Resources>& planned, SuspectUse suspectUse) const
 {
+    const auto now = this->clock.now();
+    const auto mayGetTask = [&](const Server& server) {
+        const auto& suspicion = server.suspicion;
+        if (!suspicion.isSuspect())
+            return true;
+        const bool isDue
+            = suspicion.mayGetTask(now) || (suspectUse == SuspectUse::EarlyProbe && suspicion.mayGetTaskEarly(now));
+        return isDue && !planned.contains(&server);
+    };
     const auto& spec = ready.job->spec.steps[ready.step];
     const auto need = reservedResources(spec);
     this->examinedServers += candidates.size();
@@ -354,9 +492,8 @@
             free -= plan->second;
             tasksOfStep = need.memory > 0 ? static_cast<int>(plan->second.memory / need.memory) : 0;
         }
-        // A server that is being probed was usable before this dispatch placed a task on it.
-        if (!need.fitsIn(free) || !hasLabel(server->record, spec.requiredLabel)
-            || (server->probing && !server->runs.empty()))
+        // A suspect server was a candidate before this dispatch placed a task on it.
+        if (!need.fitsIn(free) || !hasLabel(server->record, spec.requiredLabel) || !mayGetTask(*server))
             continue;
         if (spec.maxTasksPerServer > 0 || spec.longRunning)
             tasksOfStep += countTasksOfStep(*server, ready.job, ready.occurrence->number, ready.step);
@@ -406,7 +543,7 @@
 {
     auto& occurrence = run.job->activeOccurrences.at(run.occurrence);
     const ReadyStep step { run.job, &occurrence, static_cast<std::size_t>(run.step), 0, 0 };
-    return this->chooseServer(step, *run.task, this->usableServers(run.job->service), {}) != nullptr;
+    return this->chooseServer(step, *run.task, this->findCandidates(run.job->service).usable, {}) != nullptr;
 }
 
 // Moves one long-running task of each step at a time, and only to a server that has room for it now: a task that waits
--- a/src/job/reports.cpp
+++ b/src/job/reports.cpp
@@ -26,12 +26,6 @@
     // Progress is reported in whole percent, so a long task may show none for up to this fraction (1/20) of its run
     // time.
     constexpr int stallDivisor = 20;
-    // Consecutive failures of different jobs after which a server is ejected. One job in thirty fails for reasons of
-    // its own.
-    constexpr int maxConsecutiveFailures = 3;
-    // Duration of the first ejection of a server. Each further ejection lasts twice as long, up to the maximum.
-    constexpr Duration minEjection { 2000 };
-    constexpr Duration maxEjection { 16'000 };
     // Delay before a long-running task that ended right after its start is started again.
     constexpr Duration longRunningRestartDelay { 300 };
     // Best-effort tasks are throttled when the tail latency of a task beside them exceeds this percentage of its
@@ -94,19 +88,18 @@
             { { "job", id.job }, { "task", taskText(id) }, { "run", run->second.number },
                 { "server", server.record.id }, { "end", runEndName(end) }, { "listed", reported } });
     this->releaseRun(server, run);
+    if (end == RunEnd::Done && server.suspicion.recordSuccess(task.startedAt))
+        this->logCleared(server, "a task on it is done");
     if (job.isOver())
         return;
     if (step.longRunning && now - task.startedAt < longRunningRestartDelay * 2)
         task.notBefore = now + longRunningRestartDelay;
     if (end == RunEnd::Done) {
-        server.consecutiveFailures = 0;
-        server.probing = false;
-        server.ejection = Duration(0);
         this->completeTask(job, id, task);
     } else if (end == RunEnd::Failed) {
         task.avoidedServer = server.record.id;
         if (!step.longRunning)
-            this->recordServerFailure(server, job, "a task failed on it");
+            this->recordServerFailure(server, job, task.startedAt, "a task failed on it");
         this->recordTaskFailure(job, id, task, task.run);
     }
 }
@@ -118,6 +111,7 @@
     state.task->server = nullptr;
     setPhase(state.progress(), *state.task, TaskPhase::Waiting);
     this->changedServices.insert(state.job->service);
+    server.suspicion.taskReleased(run->first);
     server.removeRun(run);
 }
 
@@ -298,25 +292,29 @@
     if (step.bestEffort || atWork || task.phase != TaskPhase::Running || now - task.progressChangedAt < allowed)
         return;
     task.avoidedServer = server.record.id;
-    this->recordServerFailure(server, *run.job, "a task stalled on it");
+    this->recordServerFailure(server, *run.job, task.startedAt, "a task stalled on it");
     this->requestStop(server, id, run, "it makes no progress");
 }
 
-void JobScheduler::recordServerFailure(Server& server, const JobRecord& job, std::string_view reason)
+void JobScheduler::recordServerFailure(
+    Server& server, const JobRecord& job, TimePoint startedAt, std::string_view reason)
 {
-    if (server.lastFailedJob == job.spec.id)
+    const auto now = this->clock.now();
+    if (!server.suspicion.recordFailure(job.spec.id, startedAt, now))
         return;
-    server.lastFailedJob = job.spec.id;
-    ++server.consecutiveFailures;
-    if (server.consecutiveFailures < maxConsecutiveFailures && !server.probing)
+    const auto& service = server.record.service;
+    const auto [members, failing] = this->countFailingServers(service);
+    if (failing > maxSuspectCount(members)) {
+        server.suspicion.endSuspicion();
+        this->hooks.log("failures are not counted against a backend server",
+            { { "server", server.record.id }, { "service", service }, { "reason", reason }, { "failing", failing },
+                { "servers", members } });
         return;
-    const auto now = this->clock.now();
-    server.consecutiveFailures = 0;
-    server.probing = true;
-    server.ejection = std::clamp(server.ejection * 2, minEjection, maxEjection);
-    server.ejectedUntil = now + server.ejection;
+    }
+    server.suspicion.eject(now);
     this->hooks.log("backend server gets no tasks for a while",
-        { { "server", server.record.id }, { "reason", reason }, { "for_ms", server.ejection.count() } });
+        { { "server", server.record.id }, { "service", service }, { "reason", reason },
+            { "for_ms", server.suspicion.ejectionTime().count() } });
 }
 
 // Throttles the best-effort tasks of a server while a latency-sensitive task on it is close to its latency target.
@@ -424,8 +422,7 @@
     this->dropOrphans(server, [](const TaskId&, int) { return true; });
     server.reportClock = 0;
     server.leaseUntil = 0;
-    server.consecutiveFailures = 0;
-    server.probing = false;
+    server.suspicion = {};
     server.incarnationSeenAt = this->clock.now();
 }
 
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -392,6 +392,7 @@
     this->activateDueOccurrences();
     this->expireArrivals();
     this->dropUnresponsiveServers();
+    this->reviewSuspicions();
     for (const auto& [id, server] : this->serverMap) {
         if (server->record.draining && server->registered)
             this->evict(*server, "its server is draining");
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -264,7 +264,8 @@
     void endIncarnation(detail::Server& server, std::string_view reason);
     void resetIncarnation(detail::Server& server);
     void abandonRuns(detail::Server& server, std::string_view reason);
-    void recordServerFailure(detail::Server& server, const detail::JobRecord& job, std::string_view reason);
+    void recordServerFailure(
+        detail::Server& server, const detail::JobRecord& job, TimePoint startedAt, std::string_view reason);
     void checkStall(detail::Server& server, const TaskId& id, detail::Run& run, const RunningTask& running);
     void adjustThrottles(detail::Server& server);
 
@@ -275,20 +276,49 @@
     // placement.cpp
     void recordWait(const ReadyStep& ready, std::string_view reason);
     void logWaits();
+    void logCleared(const detail::Server& server, std::string_view reason) const;
+    void logSuspects(const std::string& service) const;
+    void reviewSuspicions();
+    struct FailingServers {
+        std::size_t members = 0; // servers of the service that would get tasks if none was suspect
+        std::size_t failing = 0;
+    };
+    FailingServers countFailingServers(std::string_view service) const;
+    // Number of servers of a service that may be out on suspicion at once.
+    static std::size_t maxSuspectCount(std::size_t members);
     void dispatch(bool all);
     void dispatchService(const std::string& service);
     void placeStep(const ReadyStep& ready, std::span<detail::Server* const> candidates);
     void placeGang(const ReadyStep& ready, std::span<detail::Server* const> candidates);
-    std::vector<detail::Server*> usableServers(const std::string& service) const;
+    // Servers of a service that may get tasks, and those that may not, only because they are suspect.
+    struct Candidates {
+        std::vector<detail::Server*> usable;
+        std::vector<detail::Server*> suspects;
+    };
+    Candidates findCandidates(std::string_view service) const;
+    // Which suspect servers may be chosen.
+    enum class SuspectUse {
+        Probe, // those whose ejection is over, for one task
+        EarlyProbe, // ejected ones too, for one task
+    };
+    // Returns true if a step that no usable server has room for may start on an ejected one. Call once it has none.
+    bool mayUseSuspects(const ReadyStep& ready);
+    detail::Server* chooseSuspect(const ReadyStep& ready, const detail::Task& task);
+    void recordNoServer(const ReadyStep& ready);
+    // Returns a server for each task of a gang, or nothing.
+    std::vector<detail::Server*> chooseGangServers(
+        const ReadyStep& ready, std::span<detail::Server* const> candidates, SuspectUse suspectUse) const;
     std::vector<ActiveOccurrence> prioritizeOccurrences(
         const std::string& service, std::span<detail::Server* const> candidates) const;
     std::vector<ReadyStep> readySteps(const std::string& service, std::span<detail::Server* const> candidates);
-    // Returns true if no candidate of this dispatch has enough free capacity, as the choice for an earlier task showed.
-    bool isUnplaceable(const Resources& need) const;
-    void recordUnplaceable(const StepSpec& step);
+    // Return true if no candidate of this dispatch has enough free capacity, as the choice for an earlier task showed.
+    static bool isUnplaceable(std::span<const Resources> unplaceable, const Resources& need);
+    static void recordUnplaceable(std::vector<Resources>& unplaceable, const StepSpec& step);
     detail::Server* chooseServer(const ReadyStep& ready, const detail::Task& task,
-        std::span<detail::Server* const> candidates, const std::map<const detail::Server*, Resources>& planned) const;
-    bool isUsable(const detail::Server& server, TimePoint now) const;
+        std::span<detail::Server* const> candidates, const std::map<const detail::Server*, Resources>& planned,
+        SuspectUse suspectUse = SuspectUse::Probe) const;
+    // Returns true if the server may get tasks unless it is suspect.
+    bool isAvailable(const detail::Server& server, TimePoint now) const;
     std::map<std::string, Resources> maxUnknownUse() const;
     bool fitsTeamLimit(const detail::JobRecord& job, const Resources& need) const;
     bool mayHaveUnknownRuns(const std::string& service) const;
@@ -327,9 +357,12 @@
     };
     std::map<std::tuple<std::string, std::string, std::string_view>, Wait> waits;
     TimePoint waitsLoggedAt;
-    // Needs that fit on no candidate of the current service. Free capacity only shrinks while a service is dispatched,
-    // so larger needs do not fit either.
+    // Needs that fit on no candidate, and on no ejected server, of the current service. Free capacity only shrinks
+    // while a service is dispatched, so larger needs do not fit either.
     std::vector<Resources> unplaceableNeeds;
+    std::vector<Resources> unplaceableOnSuspects;
+    // Ejected servers of the service that is being dispatched.
+    std::vector<detail::Server*> suspects;
     mutable std::uint64_t examinedServers = 0;
     bool recordsWaits = false; // the current dispatch counts waiting tasks for the log
     // Upper bound of what each team may be running on servers that have not answered yet, computed by the latest
--- a/src/job/server-table.h
+++ b/src/job/server-table.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "job/job-table.h"
+#include "job/server-suspicion.h"
 
 #include <waxwinglug/server-orders.h>
 
@@ -103,13 +104,7 @@
     bool cordoned = false;
     // Maintenance of the machine is pending, so long-running tasks are preferably placed elsewhere.
     bool maintenancePending = false;
-    // Consecutive failures (failed or stalled runs, refused starts) of different jobs.
-    int consecutiveFailures = 0;
-    std::string lastFailedJob;
-    TimePoint ejectedUntil;
-    Duration ejection { 0 };
-    // After an ejection, only one task at a time is placed on the server until a task completes.
-    bool probing = false;
+    ServerSuspicion suspicion;
     TimePoint backoffUntil;
 
     bool mayRunTasksOf(std::string_view service) const
--- a/test/job/scheduler-property-test.cpp
+++ b/test/job/scheduler-property-test.cpp
@@ -43,6 +43,19 @@
         return faults;
     }
 
+    // Without unresponsive servers and lost calls, which may keep work waiting beyond the faults.
+    WorldFaults serverFailureFaults(bool lastingTasks)
+    {
+        WorldFaults faults;
+        faults.failedRuns = 30;
+        faults.leaderCrashes = 10;
+        faults.failingServers = 150;
+        faults.jobFailurePeriods = 60;
+        faults.longTasks = 10;
+        faults.lastingTasks = lastingTasks;
+        return faults;
+    }
+
     std::string firstViolation(const SchedulingWorld& world)
     {
         return world.violations().empty() ? std::string() : world.violations().front();
@@ -82,6 +95,13 @@
     checkWorld(seed, restartFaults());
 }
 
+// Guards against work that has room and waits: servers that have failed tasks, or on which jobs have failed that fail
+// everywhere, must get tasks again beside tasks that take long or never end.
+RC_GTEST_PROP(JobScheduler, startsWhatHasRoomAfterFailures, (std::uint32_t seed, bool lastingTasks))
+{
+    checkWorld(seed, serverFailureFaults(lastingTasks));
+}
+
 class KnownSeed : public testing::TestWithParam<std::uint32_t> { };
 
 // Seeds that once revealed a fault in the scheduler. WAXWING_TRACE=1 prints the log of each leader.
--- a/test/job/scheduling-world.h
+++ b/test/job/scheduling-world.h
@@ -38,6 +38,13 @@
     int oddRows = 0; // rows of another writer that name the machine of a server, or the server itself
     int serverPartitions = 0; // from every leader
     int cancellations = 0;
+    // The kinds below are drawn only where they are set, so that the sequences of known seeds stay what they were.
+    int failingServers = 0; // servers that fail all that they start for a while
+    int jobFailurePeriods = 0; // times during which most jobs fail wherever they run
+    // Probabilities per thousand jobs.
+    int longTasks = 0; // each task takes up to 40 s
+    // Each server has a task that lasts until its job is cancelled.
+    bool lastingTasks = false;
 };
 
 class FakeServer {
@@ -69,6 +76,7 @@
     // The server cannot reach the store either, so its row expires.
     bool partitionedFromStore = false;
     TimePoint darkUntil; // nothing runs on its machine before
+    TimePoint failsUntil; // fails all that it starts before
 
     bool isDark(TimePoint now) const { return now < this->darkUntil; }
 
@@ -91,6 +99,8 @@
     int startedRuns() const { return this->startCount; }
     // Number of accepted jobs without a final state.
     int unfinishedJobs() const;
+    // Runs that failed because of their server.
+    int failedStarts() const { return this->failedStartCount; }
 
 private:
     struct Leader {
@@ -118,11 +128,20 @@
         JobSpec spec;
         bool cancelled = false;
         std::optional<JobStatus> endedState; // the row was replaced by that of an ended job
+        bool fails = false; // wherever it runs
+        TimePoint notRunningSince;
     };
     using Work = std::function<void()>;
 
     void addServers();
     void addJob();
+    void addLastingJob();
+    void addShortJob();
+    // Checks that whatever has room starts in time once all has been calm for a while.
+    void checkWaits();
+    bool checksWaits() const { return this->faults.failingServers > 0; }
+    bool isUnfinished(const std::string& job) const;
+    bool hasRoomTwice(const StoredJob& job) const;
     void at(TimePoint time, Work work) { this->events.emplace(time, std::move(work)); }
     bool chance(int perThousand);
     int pick(int minValue, int maxValue);
@@ -165,6 +184,8 @@
     Random random;
     WorldFaults faults;
     bool faultsDisabled = false;
+    TimePoint faultsDisabledAt;
+    TimePoint jobsFailUntil;
     ManualClock manual;
     Clock clock;
     std::multimap<TimePoint, Work> events;
@@ -183,8 +204,10 @@
 
     std::vector<std::shared_ptr<Leader>> leaders;
     int startCount = 0;
+    int failedStartCount = 0;
     int accepted = 0;
     TimePoint nextJobAt;
+    TimePoint nextWaitCheckAt;
     std::set<TaskId> doneTasks; // tasks of which a run has ended as done
     std::set<TaskId> acknowledged; // tasks of which such an end was acknowledged
     std::map<TaskId, std::set<std::pair<std::string, int>>> acknowledgedFailures;
