Pass the end of a lost server's leases on to the next leader

Cause: that a server is silent, and how long its lease lasts, was known only in the memory of one leader.

Change: the record of a server that has not answered for 1 s gets the time of the store at which its last lease ends, and the next leader waits no longer. Until a record without an end is stored, a server that answers again gets neither a lease nor a task. A leader passes on at once what it has read, and believes only records of the leader before it.

--- a/src/io/process/leader-session-loading.cpp
+++ b/src/io/process/leader-session-loading.cpp
@@ -205,12 +205,31 @@
 
 void LeaderSession::onServersInUse(std::span<const StoredRow> rows)
 {
-    this->readEach(rows, "server in use cannot be read",
-        [this](const StoredRow& row) { this->jobScheduler.addServerInUse(fromJson<ServerRecord>(row.value)); });
+    this->readEach(rows, "server in use cannot be read", [this](const StoredRow& row) {
+        const auto json = fromJson<Json>(row.value);
+        const auto record = fromJson<ServerRecord>(row.value);
+        this->jobScheduler.addServerInUse(record);
+        // A leader of an earlier version does not know the field, and grants leases beyond it.
+        const auto fence = json.value(tables::leaseEndFenceField, std::uint64_t(0));
+        if (json.contains(tables::leaseEndField) && fence + 1 == this->leadership.fence())
+            this->inheritedLeaseEnds[record.id] = json.at(tables::leaseEndField).get<StoreTime>();
+    });
     this->hasLoadedServersInUse = true;
     this->finishLoading();
 }
 
+// The store's time is later than that of the answer which named it, so the ends are not taken for earlier than they
+// are.
+void LeaderSession::applyInheritedLeaseEnds()
+{
+    if (!this->serversMoment || !this->serversMoment->storeTime)
+        return;
+    for (const auto& [server, end] : this->inheritedLeaseEnds)
+        this->jobScheduler.setInheritedLeaseEnd(
+            server, this->clock.now() + Duration(end - *this->serversMoment->storeTime));
+    this->inheritedLeaseEnds.clear();
+}
+
 void LeaderSession::onMaintenance(std::span<const StoredRow> rows)
 {
     this->readEach(rows, "maintenance row cannot be read", [this](const StoredRow& row) {
@@ -252,6 +271,7 @@
         return; // tick() tries again
     const auto decodingSince = this->clock.now();
     this->loadJobs();
+    this->applyInheritedLeaseEnds();
     this->hasLoaded = true;
     this->phases.loaded(this->jobScheduler.unansweredInheritedServers());
     // Deferred, because a reader may be on the call stack.
--- a/src/io/process/leader-session-storage.cpp
+++ b/src/io/process/leader-session-storage.cpp
@@ -104,6 +104,19 @@
     }
 }
 
+// The end of leases is a time of the store, which the next leader can read. Its own term tells that leader that nobody
+// has granted leases since.
+std::string LeaderSession::encodeServerUse(const ServerRecord& record, std::optional<TimePoint> leaseEnd) const
+{
+    Json json = record;
+    if (leaseEnd && this->jobsMoment && this->jobsMoment->storeTime) {
+        const auto left = *leaseEnd - this->jobsMoment->requestedAt;
+        json[tables::leaseEndField] = *this->jobsMoment->storeTime + left.count();
+        json[tables::leaseEndFenceField] = this->leadership.fence();
+    }
+    return json.dump();
+}
+
 // A record that does not fit is taken again later; the server gets no tasks before its record is stored.
 void LeaderSession::addServerUse(BoundedTransaction& transaction, Batch& batch)
 {
@@ -111,8 +124,9 @@
     const auto maxCount = transaction.entriesLeft() * maxServersPerCommitPercent / 100;
     for (auto& change : this->jobScheduler.takeServerUseChanges(maxCount)) {
         const RowName name { tables::serverUse, Leadership::part, change.server };
-        const bool isAdded = change.record ? transaction.tryAdd({ {}, { { name, toJson(*change.record) } }, {} })
-                                           : transaction.tryAdd({ {}, {}, { name } });
+        const bool isAdded = change.record
+            ? transaction.tryAdd({ {}, { { name, this->encodeServerUse(*change.record, change.leaseEnd) } }, {} })
+            : transaction.tryAdd({ {}, {}, { name } });
         (isAdded ? batch.serverUse : left).push_back(std::move(change));
     }
     this->jobScheduler.serverUseNotSaved(left);
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -117,6 +117,7 @@
     void onProgress(std::span<const StoredRow> rows);
     void loadJobs();
     void onServersInUse(std::span<const StoredRow> rows);
+    void applyInheritedLeaseEnds();
     void onMaintenance(std::span<const StoredRow> rows);
     void readOnce(const char* table, void (LeaderSession::*apply)(std::span<const StoredRow>));
     void finishLoading();
@@ -129,6 +130,7 @@
     void takeBatch(BoundedTransaction& transaction, Batch& batch);
     void handleRejectedCommit(const Batch& batch);
     void raiseTransactionLimits();
+    std::string encodeServerUse(const ServerRecord& record, std::optional<TimePoint> leaseEnd) const;
     void addServerUse(BoundedTransaction& transaction, Batch& batch);
     void removeExpiredJobs();
     void compactEndedJobs();
@@ -181,6 +183,7 @@
     std::map<std::string, StoredRow> inheritedJobs;
     std::vector<StoredRow> inheritedProgress;
     std::set<std::string> inheritedCancellations;
+    std::map<std::string, StoreTime> inheritedLeaseEnds; // by server
     bool hasLoadedJobs = false;
     bool hasLoadedServers = false;
     bool hasLoadedEntryVms = false;
--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -196,8 +196,9 @@
     // Each incarnation numbers its ends from 1. An unresponsive server may have restarted and would apply an
     // acknowledgement meant for its earlier incarnation to its own ends.
     order.lastStoredEnd = server.isReachable() ? server.lastStoredEnd : 0;
-    // The lease of an unresponsive server is not renewed: its tasks could otherwise never be started elsewhere.
-    if (server.isReachable()) {
+    // The lease of an unresponsive server is not renewed: its tasks could otherwise never be started elsewhere. Nor is
+    // it renewed beyond an end that the next leader may find in the store.
+    if (server.isReachable() && server.leaseEndRecord == detail::LeaseEndRecord::None) {
         const auto until = server.clockAt(this->clock.now()) + this->rules.lease.count();
         order.leaseUntil = until;
         server.leaseUntil = std::max(server.leaseUntil, until);
@@ -258,7 +259,8 @@
     server.fenceConfirmed = true;
     server.inherited = false;
     server.missedRenewals = 0;
-    this->mayLackUseRecords = this->mayLackUseRecords || !server.useRecorded;
+    this->mayLackUseRecords
+        = this->mayLackUseRecords || !server.useRecorded || server.leaseEndRecord != detail::LeaseEndRecord::None;
     server.lastReportAt = now;
     server.reportClock = report.clock;
     for (const auto& ended : report.ended)
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -127,7 +127,8 @@
 bool JobScheduler::isAvailable(const Server& server, TimePoint now) const
 {
     const bool isRegistered = server.registered || now - server.unregisteredAt < reregistrationGrace;
-    return isRegistered && server.useRecorded && !server.record.draining && server.isReachable() && !server.cordoned
+    return isRegistered && server.useRecorded && server.leaseEndRecord == detail::LeaseEndRecord::None
+        && !server.record.draining && server.isReachable() && !server.cordoned
         && !this->isEvacuated(server.record.dataCentre) && server.orphans.empty() && now >= server.backoffUntil;
 }
 
@@ -140,8 +141,9 @@
         [&](const Server* server) { return server->mayRunTasksOf(service) && !server->isLeaseExpired(now); });
     if (mayHaveEnds || now - this->termStartedAt > this->rules.maxInheritedLease)
         return mayHaveEnds;
-    return std::ranges::any_of(this->serverMap,
-        [&service](const auto& entry) { return entry.second->inherited && entry.second->mayRunTasksOf(service); });
+    return std::ranges::any_of(this->serverMap, [this, &service](const auto& entry) {
+        return this->mayHaveInheritedRuns(*entry.second) && entry.second->mayRunTasksOf(service);
+    });
 }
 
 // Computes the priority of every active occurrence of a service.
@@ -243,7 +245,7 @@
         return unknownUse;
     std::map<std::string, Resources> capacities; // by service
     for (const auto& [id, server] : this->serverMap) {
-        if (!server->inherited)
+        if (!this->mayHaveInheritedRuns(*server))
             continue;
         capacities[server->record.service] += server->record.capacity;
         for (const auto& service : server->formerServices)
--- a/src/job/reports.cpp
+++ b/src/job/reports.cpp
@@ -470,6 +470,7 @@
     server.fenceConfirmed = false;
     // The new incarnation has not seen a fence, so delayed orders of an earlier leader may still be carried out there.
     server.inherited = true;
+    server.inheritedLeaseEnd.reset();
     server.incarnationSeenAt = this->clock.now();
     server.unresponsiveSince = this->clock.now();
     // A renewal in flight may wait for the earlier incarnation.
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -98,6 +98,9 @@
     void addServer(ServerRecord record);
     // Adds a server that an earlier leader used, whether it is still registered or not.
     void addServerInUse(const ServerRecord& record);
+    // All leases of a server in use end before `end`, as an earlier leader has stored. Call after all servers are
+    // known.
+    void setInheritedLeaseEnd(std::string_view server, TimePoint end);
     void removeServer(std::string_view id);
     // Applies the platform's machine list, requested at `askedAt`. Stops waiting for an unresponsive server whose
     // machine is down or runs another server.
@@ -136,6 +139,8 @@
     struct ServerUseRecord {
         std::string server;
         std::optional<ServerRecord> record;
+        // The server does not answer, and its leases end before.
+        std::optional<TimePoint> leaseEnd {};
     };
     std::vector<ServerUseRecord> takeServerUseChanges(std::size_t maxCount);
     void serverUseSaved(std::span<const ServerUseRecord> stored);
@@ -230,6 +235,12 @@
     void markRemoved(detail::Server& server, std::string_view reason);
     void handleCrash(detail::Server& server);
     void dropUnresponsiveServers();
+    // Until then an earlier leader's runs may go on, on a server that has not answered this leader.
+    TimePoint inheritedLeaseEnd(const detail::Server& server) const;
+    bool mayHaveInheritedRuns(const detail::Server& server) const;
+    bool lacksLeaseEndRecord(const detail::Server& server) const;
+    // Returns the change of the server's record that is due, if any.
+    std::optional<ServerUseRecord> nextUseRecord(detail::Server& server) const;
 
     // orders.cpp
     void startTask(detail::JobRecord& job, detail::Occurrence& occurrence, std::size_t step, std::size_t index,
--- a/src/job/server-table.h
+++ b/src/job/server-table.h
@@ -6,6 +6,7 @@
 
 #include <waxwinglug/server-orders.h>
 
+#include <algorithm>
 #include <deque>
 #include <limits>
 #include <map>
@@ -58,6 +59,13 @@
 // Change sequence of an end that is kept unacknowledged until it can be applied.
 constexpr auto neverStored = std::numeric_limits<std::uint64_t>::max();
 
+// What the store's record of a server in use says of the end of its leases.
+enum class LeaseEndRecord {
+    None, // nothing: leases may be granted
+    Unconfirmed, // the record may name an end, or one that the next leader does not believe
+    Stored, // the record names an end
+};
+
 struct Server {
     ServerRecord record;
     // Services that its earlier rows and its use record have named: what it runs may belong to them.
@@ -73,6 +81,11 @@
     // The store records that the leader uses this server. No task is started on it before that, so that the next leader
     // knows that it must contact the server.
     bool useRecorded = false;
+    // While the store may name an end of the leases, none is granted beyond it: the next leader does not wait longer.
+    LeaseEndRecord leaseEndRecord = LeaseEndRecord::None;
+    // End of the leases of an inherited server as an earlier leader has stored it. Nothing: only the general bound
+    // holds.
+    std::optional<TimePoint> inheritedLeaseEnd;
     // The server has accepted this leader's fence, so it refuses orders of every earlier leader.
     bool fenceConfirmed = false;
     // Start of the incarnation that answered last. Nothing: the server has not answered this leader yet.
@@ -124,6 +137,8 @@
     // Lower bound of the current time on the server's clock, even if that clock runs slow.
     ServerClock minClockAt(TimePoint now) const;
     bool isLeaseExpired(TimePoint now) const;
+    // When isLeaseExpired() becomes true unless the server answers before. The server must have answered this leader.
+    TimePoint leaseExpiry() const;
     Resources freeCapacity() const { return this->record.capacity - this->allocated; }
     // Adds a run of a task that has none on this server, and reserves its resources.
     void addRun(const TaskId& id, const Run& run);
@@ -146,6 +161,12 @@
     return this->fenceConfirmed && this->minClockAt(now) > this->leaseUntil + clockMarginMs;
 }
 
+inline TimePoint Server::leaseExpiry() const
+{
+    const auto left = std::max<ServerClock>(0, this->leaseUntil + clockMarginMs - this->reportClock);
+    return this->lastReportAt + Duration(left * 1000 / minClockRate + 1);
+}
+
 inline void Server::addRun(const TaskId& id, const Run& run)
 {
     this->allocated += run.reserved;
--- a/src/job/servers.cpp
+++ b/src/job/servers.cpp
@@ -2,9 +2,11 @@
 #include "job/scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace waxwinglug {
 
+using detail::LeaseEndRecord;
 using detail::RunEvidence;
 using detail::Server;
 using detail::Task;
@@ -13,6 +15,9 @@
 
     // With fewer servers in use, unresponsive ones are no evidence that this node is partitioned.
     constexpr int minServersForPartition = 4;
+    // How long a server has been unresponsive when the end of its leases is stored for the next leader. After a change
+    // of leaders, most servers answer within 0.4 s.
+    constexpr Duration leaseEndRecordDelay { 1000 };
     // An unanswered order is carried out at most 12 s later, and its lease lasts at most 10 s.
     constexpr Duration maxUnconfirmedTime { 22'000 };
 
@@ -141,21 +146,42 @@
     server.unresponsiveSince = this->termStartedAt;
 }
 
+void JobScheduler::setInheritedLeaseEnd(std::string_view id, TimePoint end)
+{
+    const auto place = this->serverMap.find(id);
+    // The record of another incarnation says nothing about the present one.
+    if (place == this->serverMap.end() || !place->second->inherited || !place->second->useRecorded)
+        return;
+    auto& server = *place->second;
+    server.inheritedLeaseEnd = end;
+    server.leaseEndRecord = LeaseEndRecord::Unconfirmed;
+    this->mayLackUseRecords = true;
+    this->hooks.log("leases of an unresponsive server are known to end",
+        { { "server", id }, { "left_ms", (end - this->clock.now()).count() } });
+}
+
+TimePoint JobScheduler::inheritedLeaseEnd(const Server& server) const
+{
+    const auto bound = this->termStartedAt + this->rules.maxInheritedLease;
+    return std::min(bound, server.inheritedLeaseEnd.value_or(bound));
+}
+
+bool JobScheduler::mayHaveInheritedRuns(const Server& server) const
+{
+    return server.inherited && this->clock.now() <= this->inheritedLeaseEnd(server);
+}
+
 std::size_t JobScheduler::unansweredInheritedServers() const
 {
-    if (this->clock.now() - this->termStartedAt > this->rules.maxInheritedLease)
-        return 0;
-    return static_cast<std::size_t>(
-        std::ranges::count_if(this->serverMap, [](const auto& entry) { return entry.second->inherited; }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->serverMap, [this](const auto& entry) { return this->mayHaveInheritedRuns(*entry.second); }));
 }
 
 bool JobScheduler::waitsForUnresponsiveServer() const
 {
-    const bool mayBeInherited = this->clock.now() - this->termStartedAt <= this->rules.maxInheritedLease;
-    return std::ranges::any_of(this->serverMap, [mayBeInherited](const auto& entry) {
+    return std::ranges::any_of(this->serverMap, [this](const auto& entry) {
         const auto& server = *entry.second;
-        const bool mayRun = server.inherited && mayBeInherited;
-        return !server.removed && !server.isReachable() && (mayRun || !server.runs.empty());
+        return !server.removed && !server.isReachable() && (this->mayHaveInheritedRuns(server) || !server.runs.empty());
     });
 }
 
@@ -215,19 +241,54 @@
             this->mayLackUseRecords = true;
             break;
         }
-        if (!server->useRecorded && server->isReachable() && server->registered)
-            changes.push_back({ id, server->record });
+        if (auto change = this->nextUseRecord(*server))
+            changes.push_back(std::move(*change));
     }
     return changes;
 }
 
+bool JobScheduler::lacksLeaseEndRecord(const Server& server) const
+{
+    if (!server.useRecorded || server.removed || server.leaseEndRecord == LeaseEndRecord::Stored)
+        return false;
+    const bool hasAnswered = server.answeredIncarnation.has_value();
+    // What an earlier leader has stored is passed on at once, because this term may be short.
+    if (!hasAnswered && server.inheritedLeaseEnd)
+        return true;
+    // A server that may have started again has no known lease.
+    const bool isLeaseKnown = hasAnswered ? server.fenceConfirmed : server.inherited;
+    return isLeaseKnown && server.missedRenewals > 0
+        && this->clock.now() - server.unresponsiveSince >= leaseEndRecordDelay;
+}
+
+std::optional<JobScheduler::ServerUseRecord> JobScheduler::nextUseRecord(Server& server) const
+{
+    const bool isNewInUse = !server.useRecorded && server.registered;
+    const bool isBack = server.leaseEndRecord != LeaseEndRecord::None;
+    if (server.isReachable() && (isNewInUse || isBack))
+        return ServerUseRecord { server.record.id, server.record };
+    if (!this->lacksLeaseEndRecord(server))
+        return std::nullopt;
+    server.leaseEndRecord = LeaseEndRecord::Unconfirmed;
+    const auto end = server.answeredIncarnation ? server.leaseExpiry() : this->inheritedLeaseEnd(server);
+    return ServerUseRecord { server.record.id, server.record, end };
+}
+
 void JobScheduler::serverUseSaved(std::span<const ServerUseRecord> stored)
 {
     for (const auto& change : stored) {
         const auto server = this->serverMap.find(change.server);
         if (server == this->serverMap.end() || !change.record)
             continue;
-        server->second->useRecorded = true;
+        auto& used = *server->second;
+        if (change.leaseEnd) {
+            used.leaseEndRecord = LeaseEndRecord::Stored;
+            continue;
+        }
+        used.useRecorded = true;
+        // Leases are granted again from now on.
+        if (std::exchange(used.leaseEndRecord, LeaseEndRecord::None) != LeaseEndRecord::None)
+            this->scheduleRenewal(used, this->clock.now());
         this->changedServices.insert(change.record->service);
     }
 }
@@ -322,12 +383,12 @@
 void JobScheduler::dropUnresponsiveServers()
 {
     const auto now = this->clock.now();
-    const bool inheritedLeasesOver = now - this->termStartedAt > this->rules.maxInheritedLease;
     for (auto& [id, server] : this->serverMap) {
-        if (server->inherited && inheritedLeasesOver)
+        if (server->inherited && !this->mayHaveInheritedRuns(*server))
             server->inherited = false;
         if (server->missedRenewals == 0)
             continue;
+        this->mayLackUseRecords = this->mayLackUseRecords || this->lacksLeaseEndRecord(*server);
         const bool leaseOver = server->isLeaseExpired(now);
         // The next leader need not wait for this server. Its use is recorded again before it gets its next task.
         if (server->useRecorded && !server->inherited && leaseOver) {
--- a/test/io/leader-session-test.cpp
+++ b/test/io/leader-session-test.cpp
@@ -25,6 +25,7 @@
         std::map<RowName, StoredRow> rows;
         std::uint64_t version = 1;
         std::vector<RowTransaction> transactions;
+        std::string silentServer; // answers no renewal
         std::string silentTable; // follow calls and lists of this table get no answer
         int jobFeedAnswers = 0;
         bool changesMayBeCut = false;
@@ -91,7 +92,9 @@
                 std::erase_if(this->runningTasks, [&](const RunningTask& each) { return each.task == order.task; });
                 boost::asio::post(this->context, [handler] { handler(OrderStatus::Accepted); });
             };
-            this->platform.servers.renewLease = [this](const ServerRecord&, const RenewOrder&, auto handler) {
+            this->platform.servers.renewLease = [this](const ServerRecord& server, const RenewOrder&, auto handler) {
+                if (server.id == this->silentServer)
+                    return boost::asio::post(this->context, [handler] { handler(OrderStatus::Unknown, {}); });
                 auto timer = std::make_shared<boost::asio::steady_timer>(this->context, Duration(30));
                 timer->async_wait([this, timer, handler](const boost::system::error_code&) {
                     RenewReport report;
@@ -105,6 +108,30 @@
             this->apply(transaction);
         }
 
+        // A leader that finds a job, a server, and the record of a server that does not answer. The record says that
+        // its leases end 0.2 s later.
+        void beginBesideLostServer(std::uint64_t recordedFence)
+        {
+            this->addServer("server");
+            this->silentServer = "lost";
+            ServerRecord lost;
+            lost.id = this->silentServer;
+            lost.service = "quoting";
+            Json use = lost;
+            use[tables::leaseEndField] = this->storeTime() + 200;
+            use[tables::leaseEndFenceField] = recordedFence;
+            RowTransaction transaction;
+            transaction.writes.push_back({ { tables::serverUse, Leadership::part, lost.id }, use.dump() });
+            this->apply(transaction);
+            this->submit("a");
+            this->session->start();
+        }
+
+        Json lostServerRow() const
+        {
+            return Json::parse(this->rows.at({ tables::serverUse, Leadership::part, this->silentServer }).value);
+        }
+
         JobStatus storedState(const std::string& job) const
         {
             const auto row = this->rows.find({ tables::progress, Leadership::part, job });
@@ -386,6 +413,29 @@
     }));
 }
 
+// Guards against inherited work that waits anew in each term for a server that is lost for good.
+TEST_F(LeaderSessionTest, endOfTheLeasesOfALostServerIsPassedOn)
+{
+    const auto begunAt = this->clock.now();
+    this->beginBesideLostServer(this->leadership->fence() - 1);
+    const RowName row { tables::serverUse, Leadership::part, this->silentServer };
+    EXPECT_TRUE(this->runUntil([&] {
+        return std::ranges::any_of(this->transactions,
+            [&](const RowTransaction& each) { return std::ranges::find(each.removals, row) != each.removals.end(); });
+    })) << "no later leader waits for the server";
+    EXPECT_TRUE(this->runUntil([this] { return this->runningTasks.size() == 1; }));
+    EXPECT_LT(this->clock.now() - begunAt, Duration(4000)) << "without the record, the wait takes 9.5 s";
+}
+
+// Guards against an end of leases that is believed although a leader between may have granted later ones.
+TEST_F(LeaderSessionTest, endOfLeasesThatAnEarlierLeaderHasStoredIsNotBelieved)
+{
+    this->beginBesideLostServer(7);
+    EXPECT_TRUE(this->runUntil([this] { return this->lostServerRow().at(tables::leaseEndFenceField) != 7; }));
+    EXPECT_TRUE(this->runningTasks.empty());
+    EXPECT_GT(this->lostServerRow().at(tables::leaseEndField).get<StoreTime>(), this->storeTime() + 5000);
+}
+
 // Guards against a server that counts as recorded although its record did not fit into a transaction: the next leader
 // would not wait for what runs on it.
 TEST_F(LeaderSessionTest, aServerWithoutAStoredRecordGetsNoTasks)
--- a/test/job/scheduler-fixture.h
+++ b/test/job/scheduler-fixture.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
--- a/test/job/scheduling-leaders.cpp
+++ b/test/job/scheduling-leaders.cpp
@@ -77,8 +77,11 @@
         if (!this->jobs.at(id).endedState)
             scheduler.loadProgress(id, row.text, row.version);
     }
-    for (const auto& [id, record] : this->serversInUse)
-        scheduler.addServerInUse(record);
+    for (const auto& [id, use] : this->serversInUse) {
+        scheduler.addServerInUse(use.record);
+        if (use.leaseEnd && use.fence + 1 == this->fence)
+            scheduler.setInheritedLeaseEnd(id, *use.leaseEnd);
+    }
     for (const auto& [id, job] : this->jobs) {
         if (job.cancelled)
             scheduler.cancelJob(id);
@@ -280,7 +283,7 @@
         this->progress[write.job] = { write.text, this->version };
     for (const auto& change : batch.servers) {
         if (change.record)
-            this->serversInUse[change.server] = *change.record;
+            this->serversInUse[change.server] = { *change.record, change.leaseEnd, this->fence };
         else
             this->serversInUse.erase(change.server);
     }
--- a/test/job/scheduling-world.h
+++ b/test/job/scheduling-world.h
@@ -206,7 +206,12 @@
     std::uint64_t leaderRowVersion = 0;
     std::map<std::string, StoredJob> jobs;
     std::map<std::string, StoredRow> progress;
-    std::map<std::string, ServerRecord> serversInUse;
+    struct StoredUse {
+        ServerRecord record;
+        std::optional<TimePoint> leaseEnd;
+        std::uint64_t fence = 0; // of the leader that wrote it
+    };
+    std::map<std::string, StoredUse> serversInUse;
     TimePoint lastHeartbeatAt;
     std::vector<ServerRecord> oddRows; // read by every leader, once
 
