Let no record of a server in use end a leader

What operators would see: a record in `server-use` whose fields `leasesEndBy` or `fence` have another type ended the process of each VM that became the leader; extreme numbers overflowed. Introduced with the ends of leases.

Cause: the fields were read outside fromJson(), so that the exception was not one that readEach() handles.

Change: the stored form is a part of its own (job/server-use.h). An end in another form counts as none, which means the general wait, and what is left of a lease is between zero and that wait.

Evidence: LeaderSessionTest.recordOfAServerInUseInAnotherFormIsSkipped failed before ("type must be number, but is string" left the handler); it and ServerUse.* pass.

--- a/src/io/process/leader-session-loading.cpp
+++ b/src/io/process/leader-session-loading.cpp
@@ -2,6 +2,7 @@
 #include "io/process/leader-session.h"
 
 #include "job/ended-job.h"
+#include "job/server-use.h"
 
 #include <boost/asio/post.hpp>
 
@@ -206,13 +207,11 @@
 void LeaderSession::onServersInUse(std::span<const StoredRow> rows)
 {
     this->readEach(rows, "server in use cannot be read", [this](const StoredRow& row) {
-        const auto json = fromJson<Json>(row.value);
-        const auto record = fromJson<ServerRecord>(row.value);
-        this->jobScheduler.addServerInUse(record);
-        // A leader of an earlier version does not know the field, and grants leases beyond it.
-        const auto fence = json.value(tables::leaseEndFenceField, std::uint64_t(0));
-        if (json.contains(tables::leaseEndField) && fence + 1 == this->leadership.fence())
-            this->inheritedLeaseEnds[record.id] = json.at(tables::leaseEndField).get<StoreTime>();
+        const auto use = decodeServerUse(row.value);
+        this->jobScheduler.addServerInUse(use.server);
+        // A leader of an earlier version does not know of the end, and grants leases beyond it.
+        if (use.leaseEnd && use.fence + 1 == this->leadership.fence())
+            this->inheritedLeaseEnds[use.server.id] = *use.leaseEnd;
     });
     this->hasLoadedServersInUse = true;
     this->finishLoading();
@@ -224,9 +223,10 @@
 {
     if (!this->serversMoment || !this->serversMoment->storeTime)
         return;
-    for (const auto& [server, end] : this->inheritedLeaseEnds)
-        this->jobScheduler.setInheritedLeaseEnd(
-            server, this->clock.now() + Duration(end - *this->serversMoment->storeTime));
+    for (const auto& [server, end] : this->inheritedLeaseEnds) {
+        const auto left = leaseTimeLeft(end, *this->serversMoment->storeTime, this->maxInheritedLease);
+        this->jobScheduler.setInheritedLeaseEnd(server, this->clock.now() + left);
+    }
     this->inheritedLeaseEnds.clear();
 }
 
--- a/src/io/process/leader-session-storage.cpp
+++ b/src/io/process/leader-session-storage.cpp
@@ -1,6 +1,8 @@
 // Transactions of the leader: job progress, server use, maintenance, and the counts of pending jobs.
 #include "io/process/leader-session.h"
 
+#include "job/server-use.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -104,17 +106,13 @@
     }
 }
 
-// The end of leases is a time of the store, which the next leader can read. Its own term tells that leader that nobody
-// has granted leases since.
-std::string LeaderSession::encodeServerUse(const ServerRecord& record, std::optional<TimePoint> leaseEnd) const
+// The end of leases is stored as a time of the store, which the next leader can read.
+std::string LeaderSession::encodeUse(const ServerRecord& record, std::optional<TimePoint> leaseEnd) const
 {
-    Json json = record;
-    if (leaseEnd && this->jobsMoment && this->jobsMoment->storeTime) {
-        const auto left = *leaseEnd - this->jobsMoment->requestedAt;
-        json[tables::leaseEndField] = *this->jobsMoment->storeTime + left.count();
-        json[tables::leaseEndFenceField] = this->leadership.fence();
-    }
-    return json.dump();
+    ServerUse use { record, std::nullopt, this->leadership.fence() };
+    if (leaseEnd && this->jobsMoment && this->jobsMoment->storeTime)
+        use.leaseEnd = *this->jobsMoment->storeTime + (*leaseEnd - this->jobsMoment->requestedAt).count();
+    return encodeServerUse(use);
 }
 
 // A record that does not fit is taken again later; the server gets no tasks before its record is stored.
@@ -125,7 +123,7 @@
     for (auto& change : this->jobScheduler.takeServerUseChanges(maxCount)) {
         const RowName name { tables::serverUse, Leadership::part, change.server };
         const bool isAdded = change.record
-            ? transaction.tryAdd({ {}, { { name, this->encodeServerUse(*change.record, change.leaseEnd) } }, {} })
+            ? transaction.tryAdd({ {}, { { name, this->encodeUse(*change.record, change.leaseEnd) } }, {} })
             : transaction.tryAdd({ {}, {}, { name } });
         (isAdded ? batch.serverUse : left).push_back(std::move(change));
     }
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -130,7 +130,7 @@
     void takeBatch(BoundedTransaction& transaction, Batch& batch);
     void handleRejectedCommit(const Batch& batch);
     void raiseTransactionLimits();
-    std::string encodeServerUse(const ServerRecord& record, std::optional<TimePoint> leaseEnd) const;
+    std::string encodeUse(const ServerRecord& record, std::optional<TimePoint> leaseEnd) const;
     void addServerUse(BoundedTransaction& transaction, Batch& batch);
     void removeExpiredJobs();
     void compactEndedJobs();
@@ -146,6 +146,7 @@
     const Clock clock;
     const LeaderSessionHooks hooks;
     const Duration maxJobTableAge;
+    const Duration maxInheritedLease;
     const std::shared_ptr<RelayedServers> relayedServers;
     const std::shared_ptr<LeadershipOffer> leadershipOffer;
     const ServerCalls servers;
--- a/src/io/process/tables.h
+++ b/src/io/process/tables.h
@@ -20,10 +20,6 @@
 inline constexpr const char* progress = "progress";
 // Servers that a leader uses or has used.
 inline constexpr const char* serverUse = "server-use";
-// In the record of an unresponsive server: the time of the store at which its last lease ends, and the fence of the
-// leader that wrote it.
-inline constexpr const char* leaseEndField = "leasesEndBy";
-inline constexpr const char* leaseEndFenceField = "fence";
 // Machines whose maintenance is completed, by wave, and the initial sizes of the pools.
 inline constexpr const char* maintenance = "upkeep";
 // Key of the row with the initial pool sizes in this table; the other keys are wave numbers.
--- /dev/null
+++ b/src/job/server-use.h
@@ -0,0 +1,29 @@
+// Stored form of the record that a leader uses a server, with the end of the leases of one that does not answer.
+#pragma once
+
+#include <waxwinglug/fleet-platform.h>
+#include <waxwinglug/work.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace waxwinglug {
+
+struct ServerUse {
+    ServerRecord server;
+    // Time of the store at which the last lease of the server ends. Nothing: leases may be granted.
+    std::optional<StoreTime> leaseEnd;
+    std::uint64_t fence = 0; // of the leader that wrote `leaseEnd`
+};
+
+std::string encodeServerUse(const ServerUse& use);
+// Throws Error (Invalid) if the text does not hold a server. An end of leases in another form counts as none.
+ServerUse decodeServerUse(std::string_view text);
+
+// Returns how long leases last from `now` on, at least zero and at most `maxLeft`. No difference of two stored times
+// can be out of range then.
+Duration leaseTimeLeft(StoreTime leaseEnd, StoreTime now, Duration maxLeft);
+
+} // namespace waxwinglug
--- a/test/io/leader-session-test.cpp
+++ b/test/io/leader-session-test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <limits>
 #include <random>
 
 namespace waxwinglug::io {
@@ -118,8 +119,8 @@
             lost.id = this->silentServer;
             lost.service = "quoting";
             Json use = lost;
-            use[tables::leaseEndField] = this->storeTime() + 200;
-            use[tables::leaseEndFenceField] = recordedFence;
+            use["leasesEndBy"] = this->storeTime() + 200;
+            use["fence"] = recordedFence;
             RowTransaction transaction;
             transaction.writes.push_back({ { tables::serverUse, Leadership::part, lost.id }, use.dump() });
             this->apply(transaction);
@@ -427,13 +428,43 @@
     EXPECT_LT(this->clock.now() - begunAt, Duration(4000)) << "without the record, the wait takes 9.5 s";
 }
 
+// Guards against a record in another form that ends the process, and against a time that is out of range.
+TEST_F(LeaderSessionTest, recordOfAServerInUseInAnotherFormIsSkipped)
+{
+    ServerRecord lost;
+    lost.id = "lost";
+    lost.service = "quoting";
+    const auto store = [&](const std::string& key, const Json& end, const Json& fence) {
+        Json use = lost;
+        use["id"] = key;
+        use["leasesEndBy"] = end;
+        use["fence"] = fence;
+        RowTransaction transaction;
+        transaction.writes.push_back({ { tables::serverUse, Leadership::part, key }, use.dump() });
+        this->apply(transaction);
+    };
+    const auto fence = this->leadership->fence() - 1;
+    store("text", "soon", fence);
+    store("fence-text", 5, "x");
+    store("nothing", nullptr, nullptr);
+    store("object", Json::object(), Json::array());
+    store("early", std::numeric_limits<StoreTime>::min(), fence);
+    store("late", std::numeric_limits<StoreTime>::max(), fence);
+    RowTransaction transaction;
+    transaction.writes.push_back({ { tables::serverUse, Leadership::part, "number" }, "7" });
+    this->apply(transaction);
+    this->addServer("server");
+    this->session->start();
+    EXPECT_TRUE(this->runUntil([this] { return this->pendingQuotes().has_value(); }));
+}
+
 // Guards against an end of leases that is believed although a leader between may have granted later ones.
 TEST_F(LeaderSessionTest, endOfLeasesThatAnEarlierLeaderHasStoredIsNotBelieved)
 {
     this->beginBesideLostServer(7);
-    EXPECT_TRUE(this->runUntil([this] { return this->lostServerRow().at(tables::leaseEndFenceField) != 7; }));
+    EXPECT_TRUE(this->runUntil([this] { return this->lostServerRow().at("fence") != 7; }));
     EXPECT_TRUE(this->runningTasks.empty());
-    EXPECT_GT(this->lostServerRow().at(tables::leaseEndField).get<StoreTime>(), this->storeTime() + 5000);
+    EXPECT_GT(this->lostServerRow().at("leasesEndBy").get<StoreTime>(), this->storeTime() + 5000);
 }
 
 // Guards against a server that counts as recorded although its record did not fit into a transaction: the next leader
