Submit no job right before the end of a simulated world

JobScheduler.startsWhatHasRoomAfterFailures wants every job finished at the end of a world, and its world submitted a job each second until then. The test was wrong, not the scheduler.

Each job now has 5 s to end. The check, its bounds and all other jobs are unchanged, so that a job that waits or hangs still fails it.

--- a/test/job/scheduling-world.cpp
+++ b/test/job/scheduling-world.cpp
@@ -16,6 +16,8 @@
     constexpr Duration maxStartWait { 3000 };
     constexpr Duration calmTime { 4000 };
     constexpr Duration shortJobInterval { 1000 };
+    // Each short job has this long to end before the simulation does.
+    constexpr Duration shortJobTime { 5000 };
     constexpr Duration waitCheckInterval { 100 };
     constexpr int longOccurrenceFactor = 20;
     constexpr Duration failureTime { 20 }; // run time on a server that fails all that it starts
@@ -241,6 +243,7 @@
 {
     this->faultsDisabled = true;
     this->faultsDisabledAt = this->manual.now();
+    this->lastShortJobAt = this->manual.now() + time - shortJobTime;
     this->jobsFailUntil = {};
     for (auto& leader : this->leaders) {
         leader->partitionedFromServersUntil = {};
@@ -269,7 +272,7 @@
             this->addJob();
         this->nextJobAt = now + Duration(this->pick(50, 600));
     }
-    if (this->checksWaits() && this->faultsDisabled && now >= this->nextJobAt) {
+    if (this->checksWaits() && this->faultsDisabled && now >= this->nextJobAt && now < this->lastShortJobAt) {
         this->addShortJob();
         this->nextJobAt = now + shortJobInterval;
     }
--- a/test/job/scheduling-world.h
+++ b/test/job/scheduling-world.h
@@ -193,6 +193,7 @@
     WorldFaults faults;
     bool faultsDisabled = false;
     TimePoint faultsDisabledAt;
+    TimePoint lastShortJobAt;
     TimePoint jobsFailUntil;
     ManualClock manual;
     Clock clock;
