Store nothing in the term of the next leader

Cause: LeaderSession took the condition of its transactions and its fence from Leadership, which shows the latest known term. Between the moment at which a VM reads the row of the next leader and the next tick of its session, at most 50 ms, a commit of the former leader was conditional on the new row, and the store accepted it: progress, records of servers in use with the fence of another term, and after SIGTERM a release of a term that is not its own.

A session now keeps the row and the fence of its own term, so the store refuses such a commit. LeaderSessionTest.leaderStoresNothingInTheTermOfAnother.

--- a/src/io/process/leader-session-loading.cpp
+++ b/src/io/process/leader-session-loading.cpp
@@ -34,7 +34,7 @@
         follow.pageBudget = this->pageBudget;
         return follow;
     };
-    const auto minVersion = this->leadership.leaderCondition().version;
+    const auto minVersion = this->leaderRow.version;
     this->serverFollower = std::make_unique<TableFollower>(followerTime(this->context, this->clock),
         this->platform.store, this->platform.formats.serverTable, std::vector<std::string> { "" }, minVersion,
         follower([this](auto rows, bool isFullRead) { this->onServers(rows, isFullRead); }, &this->serversMoment));
@@ -210,7 +210,7 @@
         const auto use = decodeServerUse(row.value);
         this->jobScheduler.addServerInUse(use.server);
         // A leader of an earlier version does not know of the end, and grants leases beyond it.
-        if (use.leaseEnd && use.fence + 1 == this->leadership.fence())
+        if (use.leaseEnd && use.fence + 1 == this->fence)
             this->inheritedLeaseEnds[use.server.id] = *use.leaseEnd;
     });
     this->hasLoadedServersInUse = true;
@@ -251,9 +251,9 @@
     follow.onAnswer = follow.onNoAnswer = [] { /* the followers of FleetNode monitor the store */ };
     follow.log = this->hooks.log;
     follow.pageBudget = this->pageBudget;
-    this->initialReaders.push_back(std::make_unique<TableFollower>(followerTime(this->context, this->clock),
-        this->platform.store, table, std::vector<std::string> { Leadership::part },
-        this->leadership.leaderCondition().version, std::move(follow)));
+    this->initialReaders.push_back(
+        std::make_unique<TableFollower>(followerTime(this->context, this->clock), this->platform.store, table,
+            std::vector<std::string> { Leadership::part }, this->leaderRow.version, std::move(follow)));
     this->initialReaders.back()->start();
 }
 
@@ -281,7 +281,7 @@
     for (const auto& [number, wave] : this->waves)
         this->machineMaintenance.addWave(wave, this->maintainedMachines[std::to_string(number)]);
     this->hooks.log("lead begins",
-        { { "fence", this->leadership.fence() }, { "jobs", this->jobScheduler.jobs().all().size() },
+        { { "fence", this->fence }, { "jobs", this->jobScheduler.jobs().all().size() },
             { "servers", this->jobScheduler.servers().size() },
             { "rows_ms", (this->rowsLoadedAt - this->startedAt).count() },
             { "relays_ms", (decodingSince - this->rowsLoadedAt).count() },
--- a/src/io/process/leader-session-storage.cpp
+++ b/src/io/process/leader-session-storage.cpp
@@ -64,7 +64,7 @@
     if (waiting == this->storedSummary && !transaction.changesRows())
         return;
     const RowName name { tables::summary, Leadership::part, tables::summaryKey };
-    const PendingSummary summary { waiting, *this->jobsMoment->storeTime, this->leadership.fence() };
+    const PendingSummary summary { waiting, *this->jobsMoment->storeTime, this->fence };
     if (!transaction.tryAdd({ {}, { { name, encodePendingSummary(summary) } }, {} }))
         return;
     this->summaryWrittenAt = this->clock.now();
@@ -77,7 +77,7 @@
         return;
     BoundedTransaction transaction(this->transactionLimits);
     Batch batch;
-    transaction.tryAdd({ { this->leadership.leaderCondition() }, {}, {} });
+    transaction.tryAdd({ { this->leaderRow }, {}, {} });
     if (this->leadership.isHeartbeatDue())
         transaction.tryAdd({ {}, { this->leadership.heartbeat(false) }, {} });
     if (this->hasLoaded)
@@ -109,7 +109,7 @@
 // The end of leases is stored as a time of the store, which the next leader can read.
 std::string LeaderSession::encodeUse(const ServerRecord& record, std::optional<TimePoint> leaseEnd) const
 {
-    ServerUse use { record, std::nullopt, this->leadership.fence() };
+    ServerUse use { record, std::nullopt, this->fence };
     if (leaseEnd && this->jobsMoment && this->jobsMoment->storeTime)
         use.leaseEnd = *this->jobsMoment->storeTime + (*leaseEnd - this->jobsMoment->requestedAt).count();
     return encodeServerUse(use);
@@ -213,7 +213,7 @@
             { "age_ms", (this->clock.now() - sentAt).count() } });
     this->summaryWrittenAt = {};
     if (result.status == CommitStatus::Conflict) {
-        const auto condition = this->leadership.leaderCondition();
+        const auto& condition = this->leaderRow;
         std::map<std::string, std::uint64_t> versions;
         for (const auto& row : result.conflicts) {
             if (row.name == condition.name && row.version != condition.version)
--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -30,6 +30,8 @@
     : context(io)
     , platform(fleetPlatform)
     , leadership(nodeLeadership)
+    , leaderRow(nodeLeadership.leaderCondition())
+    , fence(nodeLeadership.fence())
     , clock(source)
     , hooks(std::move(sessionHooks))
     , maxJobTableAge(rules.maxJobTableAge)
@@ -67,7 +69,7 @@
     LeadershipOfferHooks offer;
     offer.mayHandOver = [this] { return !this->hasEnded && this->leadership.shouldOfferLeadership(); };
     offer.stopLeading = [this](const std::string& successor) {
-        this->hooks.log("leadership is handed over", { { "fence", this->leadership.fence() }, { "to", successor } });
+        this->hooks.log("leadership is handed over", { { "fence", this->fence }, { "to", successor } });
         this->end("another VM reaches the store");
     };
     offer.log = this->hooks.log;
@@ -118,7 +120,7 @@
     maintenance.orderMaintenance = [this](const std::string& machine, int wave) {
         this->maintenanceGate.sent();
         this->platform.machines.maintain(
-            machine, wave, this->leadership.fence(), this->guarded([this, machine, wave](MachineOrderStatus status) {
+            machine, wave, this->fence, this->guarded([this, machine, wave](MachineOrderStatus status) {
                 this->maintenanceGate.answered(status);
                 this->machineMaintenance.orderAnswered(machine, wave, status);
                 this->scheduleDispatch();
@@ -146,7 +148,7 @@
     mover.orderMove = [this](const std::string& machine, const std::string& pool) {
         this->moveGate.sent();
         this->platform.machines.move(
-            machine, pool, this->leadership.fence(), this->guarded([this, machine, pool](MachineOrderStatus status) {
+            machine, pool, this->fence, this->guarded([this, machine, pool](MachineOrderStatus status) {
                 this->moveGate.answered(status);
                 this->poolMover.orderAnswered(machine, pool, status);
             }));
@@ -234,7 +236,7 @@
         if (!error)
             this->tick();
     }));
-    if (!this->leadership.isLeader())
+    if (!this->leadership.isLeader() || this->leadership.fence() != this->fence)
         return this->end("another VM is the leader");
     if (this->hasLoaded)
         this->updateRelays();
@@ -249,7 +251,7 @@
     if (this->leadership.shouldOfferLeadership())
         this->leadershipOffer->offer(this->relayedServers->possibleLeaders());
     if (this->hasLoaded && this->jobScheduler.isPartitioned()) {
-        this->hooks.log("most backend servers do not answer", { { "fence", this->leadership.fence() } });
+        this->hooks.log("most backend servers do not answer", { { "fence", this->fence } });
         this->leadership.pauseCandidacy(partitionedCandidacyPause);
         return this->releaseLeadership();
     }
@@ -276,7 +278,7 @@
     if (unanswered > 0)
         return;
     this->phases.inheritedWorkReleased();
-    this->phases.log(this->hooks.log, this->leadership.fence());
+    this->phases.log(this->hooks.log, this->fence);
 }
 
 LeaderWork LeaderSession::work() const
@@ -297,7 +299,7 @@
     if (this->hasEnded)
         return;
     RowTransaction transaction;
-    transaction.conditions.push_back(this->leadership.leaderCondition());
+    transaction.conditions.push_back(this->leaderRow);
     transaction.writes.push_back(this->leadership.heartbeat(true));
     this->platform.store.commit(std::move(transaction), commitTimeout,
         [](const TransactionResult&) { /* if it fails, the heartbeat timeout has the same effect */ });
@@ -309,8 +311,8 @@
     if (std::exchange(this->hasEnded, true))
         return;
     if (!this->phases.isOver())
-        this->phases.log(this->hooks.log, this->leadership.fence());
-    this->hooks.log("lead ends", { { "fence", this->leadership.fence() }, { "reason", reason } });
+        this->phases.log(this->hooks.log, this->fence);
+    this->hooks.log("lead ends", { { "fence", this->fence }, { "reason", reason } });
     this->leadership.stepDown();
     // Deferred, because the handler destroys this session, which is still on the call stack.
     boost::asio::post(this->context, [onEnded = this->hooks.onEnded] { onEnded(); });
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -143,6 +143,9 @@
     boost::asio::io_context& context;
     const FleetPlatform& platform;
     Leadership& leadership;
+    // Of this term. Those of `leadership` are another VM's from the moment at which its term is seen.
+    const RowCondition leaderRow;
+    const std::uint64_t fence;
     const Clock clock;
     const LeaderSessionHooks hooks;
     const Duration maxJobTableAge;
--- a/test/io/leader-session-test.cpp
+++ b/test/io/leader-session-test.cpp
@@ -57,6 +57,7 @@
             this->leadership
                 = std::make_unique<Leadership>(LeadershipTimings {}, this->clock, "leader", 500, this->random);
             this->leadership->becomeCandidate();
+            this->storeLeader(1, "former");
             this->leadership->acquireAnswered(this->apply(this->leadership->acquire()));
             LeaderSessionHooks hooks;
             hooks.onEnded = [] {};
@@ -72,6 +73,17 @@
                 std::move(config), std::move(hooks));
         }
 
+        // Another VM acquires leadership. Returns the version of its row.
+        std::uint64_t storeLeader(std::uint64_t fence, const std::string& node)
+        {
+            RowTransaction transaction;
+            transaction.writes.push_back({ this->leadership->leaderCondition().name,
+                Json { { "fence", fence }, { "node", node }, { "attempt", node + "-1" } }.dump() });
+            const auto stored = this->apply(transaction).version;
+            this->leadership->observe(std::vector { this->rows.at(transaction.writes.front().name) });
+            return stored;
+        }
+
         StoreTime storeTime() const { return this->clock.now().time_since_epoch().count(); }
 
         // A server that accepts every order and runs what it has started.
@@ -112,6 +124,11 @@
         // A leader that finds a job, a server, and the record of a server that does not answer. The record says that
         // its leases end 0.2 s later.
         void beginBesideLostServer(std::uint64_t recordedFence)
+        {
+            this->beginBesideLostServer({ { "leasesEndBy", this->storeTime() + 200 }, { "fence", recordedFence } });
+        }
+
+        void beginBesideLostServer(const Json& recorded)
         {
             this->addServer("server");
             this->silentServer = "lost";
@@ -119,8 +136,7 @@
             lost.id = this->silentServer;
             lost.service = "quoting";
             Json use = lost;
-            use["leasesEndBy"] = this->storeTime() + 200;
-            use["fence"] = recordedFence;
+            use.update(recorded);
             RowTransaction transaction;
             transaction.writes.push_back({ { tables::serverUse, Leadership::part, lost.id }, use.dump() });
             this->apply(transaction);
@@ -428,6 +444,20 @@
     EXPECT_LT(this->clock.now() - begunAt, Duration(4000)) << "without the record, the wait takes 9.5 s";
 }
 
+// Guards against a leader that stores its changes in the term of the next one: it has seen that term, but its own work
+// has not ended yet.
+TEST_F(LeaderSessionTest, leaderStoresNothingInTheTermOfAnother)
+{
+    this->submit("a");
+    this->session->start();
+    ASSERT_TRUE(this->runUntil([this] { return !this->storedSummaries().empty(); }));
+    const auto stored = this->storeLeader(this->leadership->fence() + 1, "another");
+    this->skipped += Duration(5000); // a heartbeat is due
+    const auto end = std::chrono::steady_clock::now() + Duration(200);
+    this->runUntil([&] { return std::chrono::steady_clock::now() > end; });
+    EXPECT_EQ(this->version, stored);
+}
+
 // Guards against a record in another form that ends the process, and against a time that is out of range.
 TEST_F(LeaderSessionTest, recordOfAServerInUseInAnotherFormIsSkipped)
 {
