Wait for leases that orders meant for an earlier incarnation have created

Cause: such a server takes orders that were sent to its earlier incarnation. Their lease refers to a clock that is far ahead, so it lasts for the maximum of 10 s, whoever leads. The leader knew that for its own waits, but not the next one: it waits 4.5 s after a leader that has stopped, the same VM included.

Change: a leader that sees a later start of a server, in its row or in a report, stores in its record until when such leases may last; every later leader waits so long for that server if it does not answer, and passes it on. Where the record and the row name different starts, the maximum is assumed. A server whose start is that of its record is waited for as before.

--- a/src/io/process/leader-session-loading.cpp
+++ b/src/io/process/leader-session-loading.cpp
@@ -212,6 +212,8 @@
         // A leader of an earlier version does not know of the end, and grants leases beyond it.
         if (use.leaseEnd && use.fence + 1 == this->fence)
             this->inheritedLeaseEnds[use.server.id] = *use.leaseEnd;
+        if (use.strayLeaseEnd)
+            this->inheritedStrayLeaseEnds[use.server.id] = *use.strayLeaseEnd;
     });
     this->hasLoadedServersInUse = true;
     this->finishLoading();
@@ -223,11 +225,15 @@
 {
     if (!this->serversMoment || !this->serversMoment->storeTime)
         return;
-    for (const auto& [server, end] : this->inheritedLeaseEnds) {
-        const auto left = leaseTimeLeft(end, *this->serversMoment->storeTime, this->maxInheritedLease);
-        this->jobScheduler.setInheritedLeaseEnd(server, this->clock.now() + left);
-    }
+    const auto toLocalTime = [this](StoreTime end) {
+        return this->clock.now() + leaseTimeLeft(end, *this->serversMoment->storeTime, this->maxInheritedStrayLease);
+    };
+    for (const auto& [server, end] : this->inheritedLeaseEnds)
+        this->jobScheduler.setInheritedLeaseEnd(server, toLocalTime(end));
+    for (const auto& [server, end] : this->inheritedStrayLeaseEnds)
+        this->jobScheduler.setInheritedStrayLeaseEnd(server, toLocalTime(end));
     this->inheritedLeaseEnds.clear();
+    this->inheritedStrayLeaseEnds.clear();
 }
 
 void LeaderSession::onMaintenance(std::span<const StoredRow> rows)
--- a/src/io/process/leader-session-storage.cpp
+++ b/src/io/process/leader-session-storage.cpp
@@ -107,11 +107,16 @@
 }
 
 // The end of leases is stored as a time of the store, which the next leader can read.
-std::string LeaderSession::encodeUse(const ServerRecord& record, std::optional<TimePoint> leaseEnd) const
+std::string LeaderSession::encodeUse(const JobScheduler::ServerUseRecord& change) const
 {
-    ServerUse use { record, std::nullopt, this->fence };
-    if (leaseEnd && this->jobsMoment && this->jobsMoment->storeTime)
-        use.leaseEnd = *this->jobsMoment->storeTime + (*leaseEnd - this->jobsMoment->requestedAt).count();
+    ServerUse use { *change.record, std::nullopt, this->fence };
+    const auto toStoreTime = [this](std::optional<TimePoint> time) -> std::optional<StoreTime> {
+        if (!time || !this->jobsMoment || !this->jobsMoment->storeTime)
+            return std::nullopt;
+        return *this->jobsMoment->storeTime + (*time - this->jobsMoment->requestedAt).count();
+    };
+    use.leaseEnd = toStoreTime(change.leaseEnd);
+    use.strayLeaseEnd = toStoreTime(change.strayLeaseEnd);
     return encodeServerUse(use);
 }
 
@@ -122,9 +127,8 @@
     const auto maxCount = transaction.entriesLeft() * maxServersPerCommitPercent / 100;
     for (auto& change : this->jobScheduler.takeServerUseChanges(maxCount)) {
         const RowName name { tables::serverUse, Leadership::part, change.server };
-        const bool isAdded = change.record
-            ? transaction.tryAdd({ {}, { { name, this->encodeUse(*change.record, change.leaseEnd) } }, {} })
-            : transaction.tryAdd({ {}, {}, { name } });
+        const bool isAdded = change.record ? transaction.tryAdd({ {}, { { name, this->encodeUse(change) } }, {} })
+                                           : transaction.tryAdd({ {}, {}, { name } });
         (isAdded ? batch.serverUse : left).push_back(std::move(change));
     }
     this->jobScheduler.serverUseNotSaved(left);
--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -35,7 +35,7 @@
     , clock(source)
     , hooks(std::move(sessionHooks))
     , maxJobTableAge(rules.maxJobTableAge)
-    , maxInheritedLease(rules.maxInheritedLease)
+    , maxInheritedStrayLease(rules.maxInheritedStrayLease())
     , relayedServers(std::make_shared<RelayedServers>(
           io, client, fleetPlatform.servers, std::move(relays), rules.fence, source, this->relayHooks()))
     , leadershipOffer(std::make_shared<LeadershipOffer>(client, source, rules.fence, this->offerHooks()))
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -130,7 +130,7 @@
     void takeBatch(BoundedTransaction& transaction, Batch& batch);
     void handleRejectedCommit(const Batch& batch);
     void raiseTransactionLimits();
-    std::string encodeUse(const ServerRecord& record, std::optional<TimePoint> leaseEnd) const;
+    std::string encodeUse(const JobScheduler::ServerUseRecord& use) const;
     void addServerUse(BoundedTransaction& transaction, Batch& batch);
     void removeExpiredJobs();
     void compactEndedJobs();
@@ -149,7 +149,7 @@
     const Clock clock;
     const LeaderSessionHooks hooks;
     const Duration maxJobTableAge;
-    const Duration maxInheritedLease;
+    const Duration maxInheritedStrayLease;
     const std::shared_ptr<RelayedServers> relayedServers;
     const std::shared_ptr<LeadershipOffer> leadershipOffer;
     const ServerCalls servers;
@@ -188,6 +188,7 @@
     std::vector<StoredRow> inheritedProgress;
     std::set<std::string> inheritedCancellations;
     std::map<std::string, StoreTime> inheritedLeaseEnds; // by server
+    std::map<std::string, StoreTime> inheritedStrayLeaseEnds; // by server
     bool hasLoadedJobs = false;
     bool hasLoadedServers = false;
     bool hasLoadedEntryVms = false;
--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -26,10 +26,6 @@
     // A server with unacknowledged ends answers immediately; this delay limits the rate of renewals while the store is
     // slow.
     constexpr Duration unstoredEndsRenewDelay { 150 };
-    // An unanswered order is carried out at most this much later. Orders to an earlier incarnation refer to its clock,
-    // which can be far ahead of the clock of the new incarnation, so such an order may create a lease of the maximum
-    // length.
-    constexpr Duration maxOrderDelay { 12'000 };
     // Delay before a task is started again after its start was refused.
     constexpr Duration refusedStartDelay { 100 };
     // Time without new starts on a server that has refused one because of its health or capacity, or that could not be
@@ -252,10 +248,13 @@
     // Orders to the incarnation that has ended may still arrive. Those of an earlier leader are refused from now on,
     // but may have created such a lease while this incarnation was young.
     const auto maxLease = this->rules.maxLease.count();
-    if (server.leaseUntil == 0 && server.incarnationSeenAt != TimePoint {})
-        server.leaseUntil = report.clock + maxOrderDelay.count() + maxLease;
-    else if (!server.fenceConfirmed && this->rules.fence > 1 && report.clock < maxOrderDelay.count() + maxLease)
+    const auto maxOrderDelay = this->rules.maxOrderDelay.count();
+    if (server.leaseUntil == 0 && server.incarnationSeenAt != TimePoint {}) {
+        server.leaseUntil = report.clock + maxOrderDelay + maxLease;
+        this->expectStrayOrders(server);
+    } else if (!server.fenceConfirmed && this->rules.fence > 1 && report.clock < maxOrderDelay + maxLease) {
         server.leaseUntil = std::max(server.leaseUntil, report.clock + maxLease);
+    }
     server.fenceConfirmed = true;
     server.inherited = false;
     server.missedRenewals = 0;
@@ -294,6 +293,8 @@
     if (startedAt > server.answeredIncarnation.value_or(server.record.startedAt))
         this->beginIncarnation(server);
     const bool isNew = server.answeredIncarnation != startedAt;
+    if (server.record.startedAt != startedAt)
+        server.isUseRecordOutdated = this->mayLackUseRecords = true;
     server.record.startedAt = startedAt;
     server.answeredIncarnation = startedAt;
     server.answeredAddress = server.record.address;
--- a/src/job/placement.cpp
+++ b/src/job/placement.cpp
@@ -139,7 +139,7 @@
     const auto now = this->clock.now();
     const bool mayHaveEnds = std::ranges::any_of(this->fullReporters,
         [&](const Server* server) { return server->mayRunTasksOf(service) && !server->isLeaseExpired(now); });
-    if (mayHaveEnds || now - this->termStartedAt > this->rules.maxInheritedLease)
+    if (mayHaveEnds || now - this->termStartedAt > this->rules.maxInheritedStrayLease())
         return mayHaveEnds;
     return std::ranges::any_of(this->serverMap, [this, &service](const auto& entry) {
         return this->mayHaveInheritedRuns(*entry.second) && entry.second->mayRunTasksOf(service);
@@ -241,7 +241,7 @@
 std::map<std::string, Resources> JobScheduler::maxUnknownUse() const
 {
     std::map<std::string, Resources> unknownUse;
-    if (this->clock.now() - this->termStartedAt > this->rules.maxInheritedLease)
+    if (this->clock.now() - this->termStartedAt > this->rules.maxInheritedStrayLease())
         return unknownUse;
     std::map<std::string, Resources> capacities; // by service
     for (const auto& [id, server] : this->serverMap) {
--- a/src/job/reports.cpp
+++ b/src/job/reports.cpp
@@ -471,6 +471,7 @@
     // The new incarnation has not seen a fence, so delayed orders of an earlier leader may still be carried out there.
     server.inherited = true;
     server.inheritedLeaseEnd.reset();
+    this->expectStrayOrders(server);
     server.incarnationSeenAt = this->clock.now();
     server.unresponsiveSince = this->clock.now();
     // A renewal in flight may wait for the earlier incarnation.
--- a/src/job/scheduler.cpp
+++ b/src/job/scheduler.cpp
@@ -49,6 +49,11 @@
     this->maxInheritedLease = this->lease * 1000 / detail::minClockRate + slack;
 }
 
+Duration JobSchedulerRules::maxStrayLease() const
+{
+    return this->maxOrderDelay + this->maxLease * 1000 / detail::minClockRate + Duration(detail::clockMarginMs);
+}
+
 Resources reservedResources(const StepSpec& step)
 {
     auto need = step.taskResources;
@@ -339,7 +344,8 @@
     std::vector<StoredEnd> ends;
     // Until then a task of a failed or cancelled job may run on a server of an earlier leader, and its team and size
     // must be known.
-    const bool mayRunUnknown = this->clock.now() - this->termStartedAt <= this->rules.maxInheritedLease;
+    const bool mayRunUnknown = this->clock.now() - this->termStartedAt <= this->rules.maxInheritedLease
+        || this->unansweredInheritedServers() > 0;
     std::erase_if(this->storedEnds, [&](const std::string& id) {
         const auto* job = this->jobTable.find(id);
         if (!job)
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -63,6 +63,9 @@
     // Time from the start of this term until all leases and start orders of the earlier leader have expired: its last
     // lease can begin 5 s into the term and lasts 4 s on a slow clock.
     Duration maxInheritedLease { 9500 };
+    // An order that is not answered is carried out at most this much later, perhaps by a later incarnation of its
+    // server.
+    Duration maxOrderDelay { std::chrono::seconds(12) };
     // Time for which the rows of an ended job are kept.
     Duration endedJobRetention { std::chrono::minutes(3) };
     // Largest stored progress of one job, in bytes.
@@ -70,6 +73,12 @@
 
     // Shortens the waiting times above. Only valid if the earlier leader is known to have stopped.
     void assumeEarlierLeaderStopped();
+    // Time from a stray order until the lease that it creates has expired, even on a slow clock. Stray orders are meant
+    // for an earlier incarnation of a server and reach a later one. Their times refer to the clock of the earlier
+    // incarnation, which is ahead, so such an order creates a lease of the maximum length.
+    Duration maxStrayLease() const;
+    // Time from the start of this term until the leases of stray orders of the earlier leader have expired.
+    Duration maxInheritedStrayLease() const { return this->earlierLeaderStartWindow + this->maxStrayLease(); }
 };
 
 // Progress of one job, to be written to the store.
@@ -101,6 +110,9 @@
     // All leases of a server in use end before `end`, as an earlier leader has stored. Call after all servers are
     // known.
     void setInheritedLeaseEnd(std::string_view server, TimePoint end);
+    // Stray orders may have created leases on a server in use that last until `end`, as an earlier leader has stored.
+    // Call after all servers are known.
+    void setInheritedStrayLeaseEnd(std::string_view server, TimePoint end);
     void removeServer(std::string_view id);
     // Applies the platform's machine list, requested at `askedAt`. Stops waiting for an unresponsive server whose
     // machine is down or runs another server.
@@ -141,6 +153,8 @@
         std::optional<ServerRecord> record;
         // The server does not answer, and its leases end before.
         std::optional<TimePoint> leaseEnd {};
+        // Leases of stray orders may last until then, whoever leads.
+        std::optional<TimePoint> strayLeaseEnd {};
     };
     std::vector<ServerUseRecord> takeServerUseChanges(std::size_t maxCount);
     void serverUseSaved(std::span<const ServerUseRecord> stored);
@@ -237,6 +251,8 @@
     void dropUnresponsiveServers();
     // Until then an earlier leader's runs may go on, on a server that has not answered this leader.
     TimePoint inheritedLeaseEnd(const detail::Server& server) const;
+    // Another incarnation of the server may take orders that were sent to the one before it until now.
+    void expectStrayOrders(detail::Server& server);
     bool mayHaveInheritedRuns(const detail::Server& server) const;
     bool lacksLeaseEndRecord(const detail::Server& server) const;
     // Returns the change of the server's record that is due, if any.
--- a/src/job/server-table.h
+++ b/src/job/server-table.h
@@ -86,6 +86,10 @@
     // End of the leases of an inherited server as an earlier leader has stored it. Nothing: only the general bound
     // holds.
     std::optional<TimePoint> inheritedLeaseEnd;
+    // Leases of stray orders on this incarnation end before. Nothing: no stray order can reach it.
+    std::optional<TimePoint> strayLeaseEnd;
+    // The record of its use is stored with another `strayLeaseEnd`.
+    bool isUseRecordOutdated = false;
     // The server has accepted this leader's fence, so it refuses orders of every earlier leader.
     bool fenceConfirmed = false;
     // Start of the incarnation that answered last. Nothing: the server has not answered this leader yet.
--- a/src/job/server-use.cpp
+++ b/src/job/server-use.cpp
@@ -10,6 +10,7 @@
 
     constexpr const char* leaseEndField = "leasesEndBy";
     constexpr const char* fenceField = "fence";
+    constexpr const char* strayLeaseEndField = "strayLeasesEndBy";
 
 } // namespace
 
@@ -20,6 +21,8 @@
         json[leaseEndField] = *use.leaseEnd;
         json[fenceField] = use.fence;
     }
+    if (use.strayLeaseEnd)
+        json[strayLeaseEndField] = *use.strayLeaseEnd;
     return json.dump();
 }
 
@@ -33,6 +36,9 @@
         use.leaseEnd = end->get<StoreTime>();
         use.fence = fence->get<std::uint64_t>();
     }
+    const auto strayEnd = json.find(strayLeaseEndField);
+    if (strayEnd != json.end() && strayEnd->is_number_integer())
+        use.strayLeaseEnd = strayEnd->get<StoreTime>();
     return use;
 }
 
--- a/src/job/server-use.h
+++ b/src/job/server-use.h
@@ -16,6 +16,8 @@
     // Time of the store at which the last lease of the server ends. Nothing: leases may be granted.
     std::optional<StoreTime> leaseEnd;
     std::uint64_t fence = 0; // of the leader that wrote `leaseEnd`
+    // Time of the store until which leases may last that orders meant for an earlier incarnation have created.
+    std::optional<StoreTime> strayLeaseEnd {};
 };
 
 std::string encodeServerUse(const ServerUse& use);
--- a/src/job/servers.cpp
+++ b/src/job/servers.cpp
@@ -18,8 +18,6 @@
     // How long a server has been unresponsive when the end of its leases is stored for the next leader. After a change
     // of leaders, most servers answer within 0.4 s.
     constexpr Duration leaseEndRecordDelay { 1000 };
-    // An unanswered order is carried out at most 12 s later, and its lease lasts at most 10 s.
-    constexpr Duration maxUnconfirmedTime { 22'000 };
 
 } // namespace
 
@@ -141,9 +139,22 @@
     } else if (server.record.service != record.service) {
         server.formerServices.insert(record.service);
     }
+    // Its row is older than the record: the earlier leader has heard of a later incarnation from the server itself.
+    server.record.startedAt = std::max(server.record.startedAt, record.startedAt);
     server.useRecorded = server.record.startedAt == record.startedAt;
     server.inherited = true;
     server.unresponsiveSince = this->termStartedAt;
+    // The earlier leader may not have known of the incarnation that the server's row names.
+    if (!server.useRecorded)
+        this->expectStrayOrders(server);
+}
+
+void JobScheduler::expectStrayOrders(Server& server)
+{
+    const auto lastOrderAt = std::max(this->clock.now(), this->termStartedAt + this->rules.earlierLeaderStartWindow);
+    server.strayLeaseEnd = lastOrderAt + this->rules.maxStrayLease();
+    server.isUseRecordOutdated = true;
+    this->mayLackUseRecords = true;
 }
 
 void JobScheduler::setInheritedLeaseEnd(std::string_view id, TimePoint end)
@@ -160,10 +171,25 @@
         { { "server", id }, { "left_ms", (end - this->clock.now()).count() } });
 }
 
+void JobScheduler::setInheritedStrayLeaseEnd(std::string_view id, TimePoint end)
+{
+    const auto place = this->serverMap.find(id);
+    if (place == this->serverMap.end() || !place->second->inherited || !place->second->useRecorded
+        || end <= this->clock.now())
+        return;
+    place->second->strayLeaseEnd = end;
+    this->hooks.log("stray orders may have created leases on a backend server",
+        { { "server", id }, { "left_ms", (end - this->clock.now()).count() } });
+}
+
 TimePoint JobScheduler::inheritedLeaseEnd(const Server& server) const
 {
-    const auto bound = this->termStartedAt + this->rules.maxInheritedLease;
-    return std::min(bound, server.inheritedLeaseEnd.value_or(bound));
+    // No order of an earlier leader creates a lease that lasts longer.
+    const auto maxEnd = this->termStartedAt + this->rules.maxInheritedStrayLease();
+    if (server.inheritedLeaseEnd)
+        return std::min(maxEnd, *server.inheritedLeaseEnd);
+    const auto end = this->termStartedAt + this->rules.maxInheritedLease;
+    return server.strayLeaseEnd && this->rules.fence > 1 ? std::max(end, std::min(maxEnd, *server.strayLeaseEnd)) : end;
 }
 
 bool JobScheduler::mayHaveInheritedRuns(const Server& server) const
@@ -265,13 +291,20 @@
 {
     const bool isNewInUse = !server.useRecorded && server.registered;
     const bool isBack = server.leaseEndRecord != LeaseEndRecord::None;
-    if (server.isReachable() && (isNewInUse || isBack))
-        return ServerUseRecord { server.record.id, server.record };
+    // The stored record of a server that is in use, or was before it may have started again, is replaced.
+    const bool isOutdated = server.isUseRecordOutdated && (server.useRecorded || server.inherited);
+    ServerUseRecord change { server.record.id, server.record };
+    if (server.strayLeaseEnd && *server.strayLeaseEnd > this->clock.now())
+        change.strayLeaseEnd = server.strayLeaseEnd;
+    if ((server.isReachable() && (isNewInUse || isBack)) || isOutdated) {
+        server.isUseRecordOutdated = false;
+        return change;
+    }
     if (!this->lacksLeaseEndRecord(server))
         return std::nullopt;
     server.leaseEndRecord = LeaseEndRecord::Unconfirmed;
-    const auto end = server.answeredIncarnation ? server.leaseExpiry() : this->inheritedLeaseEnd(server);
-    return ServerUseRecord { server.record.id, server.record, end };
+    change.leaseEnd = server.answeredIncarnation ? server.leaseExpiry() : this->inheritedLeaseEnd(server);
+    return change;
 }
 
 void JobScheduler::serverUseSaved(std::span<const ServerUseRecord> stored)
@@ -296,10 +329,14 @@
 void JobScheduler::serverUseNotSaved(std::span<const ServerUseRecord> failed)
 {
     for (const auto& change : failed) {
-        if (!change.record)
+        if (!change.record) {
             this->removedServers.push_back(change.server);
-        else
-            this->mayLackUseRecords = true;
+            continue;
+        }
+        this->mayLackUseRecords = true;
+        const auto server = this->serverMap.find(change.server);
+        if (server != this->serverMap.end() && !change.leaseEnd)
+            server->second->isUseRecordOutdated = true;
     }
 }
 
@@ -399,7 +436,7 @@
             continue;
         if (leaseOver)
             this->abandonRuns(*server, "its lease has expired");
-        else if (!server->fenceConfirmed && now - server->incarnationSeenAt > maxUnconfirmedTime)
+        else if (!server->fenceConfirmed && now - server->incarnationSeenAt > this->rules.maxStrayLease())
             this->abandonRuns(*server, "its new incarnation has not answered");
     }
     std::erase_if(this->serverMap, [this](const auto& entry) {
--- a/test/io/leader-session-test.cpp
+++ b/test/io/leader-session-test.cpp
@@ -458,6 +458,24 @@
     EXPECT_EQ(this->version, stored);
 }
 
+// Guards against work that runs twice because a lease that an order meant for an earlier incarnation has created lasts
+// longer than the general wait, whichever leader has stored it.
+TEST_F(LeaderSessionTest, leasesOfStrayOrdersAreWaitedForAndPassedOn)
+{
+    const auto begunAt = this->clock.now();
+    const auto end = this->storeTime() + 14'000;
+    this->beginBesideLostServer(Json { { "strayLeasesEndBy", end } });
+    EXPECT_TRUE(this->runUntil([this] { return this->lostServerRow().contains("leasesEndBy"); }));
+    EXPECT_GE(this->lostServerRow().at("leasesEndBy").get<StoreTime>(), end);
+    EXPECT_GE(this->lostServerRow().at("strayLeasesEndBy").get<StoreTime>(), end);
+    while (this->clock.now() - begunAt < Duration(13'000))
+        this->skip(Duration(400));
+    EXPECT_TRUE(this->runningTasks.empty());
+    EXPECT_TRUE(this->runUntil([this] { return this->runningTasks.size() == 1; }));
+    EXPECT_GE(this->clock.now() - begunAt, Duration(14'000));
+    EXPECT_LE(this->clock.now() - begunAt, Duration(15'000));
+}
+
 // Guards against a record in another form that ends the process, and against a time that is out of range.
 TEST_F(LeaderSessionTest, recordOfAServerInUseInAnotherFormIsSkipped)
 {
--- a/test/job/lost-server-test.cpp
+++ b/test/job/lost-server-test.cpp
@@ -55,6 +55,8 @@
         for (const auto& [id, use] : this->stored) {
             if (use.leaseEnd)
                 this->scheduler->setInheritedLeaseEnd(id, *use.leaseEnd);
+            if (use.strayLeaseEnd)
+                this->scheduler->setInheritedStrayLeaseEnd(id, *use.strayLeaseEnd);
         }
         this->scheduler->tick();
         for (const auto& [id, use] : this->stored) {
@@ -198,4 +200,107 @@
     EXPECT_TRUE(this->starts.empty());
 }
 
+// Server "b" starts again under its id, and orders meant for its earlier incarnation may have created leases of 10 s on
+// the later one; then the leader is killed, and the next one, which knows that it has stopped, does not reach "b".
+struct RestartedServerTest : LostServerTest {
+    static constexpr Duration maxLease { 10'204 }; // on a slow clock
+
+    TimePoint restartedAt;
+
+    void SetUp() override
+    {
+        LostServerTest::SetUp();
+        this->earlierLeaderStopped = true;
+        this->incarnations["b"] = WallTime(std::chrono::sys_days { std::chrono::year { 2026 } / 1 / 1 });
+        for (const auto* id : { "a", "b" }) {
+            this->addServer(id);
+            this->stored[id] = { id, this->record(id), {} };
+        }
+    }
+
+    void restart()
+    {
+        this->incarnations["b"] += Duration(5000);
+        this->restartedAt = this->clock.now();
+    }
+
+    // The next leader waits for as long as a lease of the maximum length lasts, whatever that leader has read.
+    void expectLongWait(std::uint64_t fence)
+    {
+        this->lost = { "b" };
+        this->changeLeader(fence);
+        this->waitForStart(Duration(40'000));
+        ASSERT_EQ(this->starts.size(), 1U);
+        EXPECT_GE(this->clock.now() - this->restartedAt, maxLease);
+        EXPECT_LE(this->clock.now() - this->restartedAt, Duration(25'000)) << "the wait is bounded";
+    }
+};
+
+// Guards against a second run of a task while its first one goes on under a lease of the maximum length (recut-kill,
+// TWICE): the earlier leader knew that the server had started again.
+TEST_F(RestartedServerTest, leaseOfAStrayOrderIsPassedOnToTheNextLeader)
+{
+    this->restart();
+    this->scheduler->addServer(this->record("b"));
+    this->scheduler->tick();
+    this->answerRenewal("b", {}, {});
+    this->store();
+    this->expectLongWait(2);
+}
+
+// The same, and the earlier leader is killed when it has read the server's row, before the server answers; the row has
+// expired when the next leader reads the table.
+TEST_F(RestartedServerTest, rowOfALaterIncarnationIsPassedOnToTheNextLeader)
+{
+    this->restart();
+    this->scheduler->addServer(this->record("b"));
+    this->scheduler->tick();
+    this->store();
+    this->expectLongWait(2);
+}
+
+// The same, and only the next leader reads the server's row.
+TEST_F(RestartedServerTest, rowOfALaterIncarnationThanTheRecordedOneMakesTheNextLeaderWait)
+{
+    this->restart();
+    this->lost = { "b" };
+    this->begin(2);
+    this->changedAt = this->clock.now();
+    this->scheduler->addJob(this->job("j", this->step(1)), true);
+    for (const auto* id : { "a", "b" }) {
+        this->scheduler->addServer(this->record(id));
+        this->scheduler->addServerInUse(*this->stored.at(id).record);
+    }
+    this->scheduler->tick();
+    this->answerRenewal("a", {}, {});
+    this->waitForStart(Duration(40'000));
+    ASSERT_EQ(this->starts.size(), 1U);
+    EXPECT_GE(this->clock.now() - this->restartedAt, maxLease);
+}
+
+// Guards against a lease of a stray order that only the next leader knows of, and not the one after it.
+TEST_F(RestartedServerTest, leaseOfAStrayOrderIsPassedOnByALeaderThatDoesNotReachTheServer)
+{
+    this->restart();
+    this->scheduler->addServer(this->record("b"));
+    this->scheduler->tick();
+    this->answerRenewal("b", {}, {});
+    this->store();
+    this->lost = { "b" };
+    this->changeLeader(2);
+    this->pass(Duration(1500));
+    ASSERT_TRUE(this->starts.empty());
+    this->expectLongWait(3);
+}
+
+// Guards against a longer wait where no server has started again.
+TEST_F(RestartedServerTest, serverThatHasNotStartedAgainIsWaitedForUntilItsOwnLeaseEnds)
+{
+    this->store();
+    this->lost = { "b" };
+    this->changeLeader(2);
+    EXPECT_LE(this->waitForStart(Duration(40'000)), Duration(5000));
+    EXPECT_EQ(this->starts.size(), 1U);
+}
+
 } // namespace waxwinglug::test
--- a/test/job/scheduler-fixture.h
+++ b/test/job/scheduler-fixture.h
@@ -25,6 +25,7 @@
     int supersededCalls = 0;
     std::vector<std::string> events; // log lines
     std::size_t maxProgressBytes = 49'152;
+    bool earlierLeaderStopped = false;
     std::unique_ptr<JobScheduler> scheduler;
     std::map<std::string, std::uint64_t> ends; // last end number of each server
     std::map<std::string, WallTime> incarnations; // start that each server names in its reports and rows
@@ -55,6 +56,8 @@
         JobSchedulerRules rules;
         rules.fence = fence;
         rules.maxProgressBytes = this->maxProgressBytes;
+        if (this->earlierLeaderStopped)
+            rules.assumeEarlierLeaderStopped();
         this->starts.clear();
         this->renewals.clear();
         this->scheduler = std::make_unique<JobScheduler>(rules, this->clock.clock(), hooks);
--- a/test/job/scheduler-property-test.cpp
+++ b/test/job/scheduler-property-test.cpp
@@ -43,6 +43,19 @@
         return faults;
     }
 
+    WorldFaults strayOrderFaults()
+    {
+        WorldFaults faults;
+        faults.lostAnswers = 5;
+        faults.leaderCrashes = 60;
+        faults.serverRestarts = 60;
+        faults.cutsAfterRestarts = 800;
+        faults.strayCalls = true;
+        faults.leadersReturn = true;
+        faults.longTasks = 50;
+        return faults;
+    }
+
     // Without unresponsive servers and lost calls, which may keep work waiting beyond the faults.
     WorldFaults serverFailureFaults(bool lastingTasks)
     {
@@ -109,6 +122,11 @@
     checkWorld(seed, restartFaults());
 }
 
+// Guards against a second run of a task on whose server a lease of the maximum length was created by an order meant for
+// its earlier incarnation: servers are cut off soon after they have started again, leaders crash and lead again, and
+// tasks take longer than any lease.
+RC_GTEST_PROP(JobScheduler, waitsForLeasesOfStrayOrders, (std::uint32_t seed)) { checkWorld(seed, strayOrderFaults()); }
+
 // Guards against work that has room and waits: servers that have failed tasks, or on which jobs have failed that fail
 // everywhere, must get tasks again beside tasks that take long or never end.
 RC_GTEST_PROP(JobScheduler, startsWhatHasRoomAfterFailures, (std::uint32_t seed, bool lastingTasks))
--- a/test/job/scheduling-leaders.cpp
+++ b/test/job/scheduling-leaders.cpp
@@ -28,16 +28,26 @@
         this->electLeader();
 }
 
+bool SchedulingWorld::hasLeaderStopped() const
+{
+    constexpr Duration earlierOrdersExpiry { 12'000 };
+    return this->faults.leadersReturn && this->leaders.empty() && this->crashedFence == this->fence
+        && this->manual.now() - this->termStartedAt >= earlierOrdersExpiry;
+}
+
 void SchedulingWorld::electLeader()
 {
     const auto now = this->manual.now();
     auto leader = std::make_shared<Leader>();
+    JobSchedulerRules rules;
+    if (this->hasLeaderStopped())
+        rules.assumeEarlierLeaderStopped();
+    this->termStartedAt = now;
     ++this->fence;
     this->leaderRowVersion = ++this->version;
     this->lastHeartbeatAt = now;
     leader->version = this->leaderRowVersion;
     leader->confirmedAt = now;
-    JobSchedulerRules rules;
     rules.fence = this->fence;
     Clock source = this->clock;
     if (this->faults.clockDifference > Duration(0)) {
@@ -81,6 +91,8 @@
         scheduler.addServerInUse(use.record);
         if (use.leaseEnd && use.fence + 1 == this->fence)
             scheduler.setInheritedLeaseEnd(id, *use.leaseEnd);
+        if (use.strayLeaseEnd)
+            scheduler.setInheritedStrayLeaseEnd(id, *use.strayLeaseEnd);
     }
     for (const auto& [id, job] : this->jobs) {
         if (job.cancelled)
@@ -283,7 +295,7 @@
         this->progress[write.job] = { write.text, this->version };
     for (const auto& change : batch.servers) {
         if (change.record)
-            this->serversInUse[change.server] = { *change.record, change.leaseEnd, this->fence };
+            this->serversInUse[change.server] = { *change.record, change.leaseEnd, change.strayLeaseEnd, this->fence };
         else
             this->serversInUse.erase(change.server);
     }
--- a/test/job/scheduling-world.cpp
+++ b/test/job/scheduling-world.cpp
@@ -297,8 +297,10 @@
     for (auto& leader : this->leaders) {
         if (happens(this->faults.leaderPauses))
             leader->pausedUntil = soon(200, 6000);
-        if (happens(this->faults.leaderCrashes))
+        if (happens(this->faults.leaderCrashes)) {
             leader->dead = true;
+            this->crashedFence = this->fence;
+        }
         if (happens(this->faults.leaderServerPartitions))
             leader->partitionedFromServersUntil = soon(500, 8000);
         if (happens(this->faults.leaderStorePartitions))
@@ -342,6 +344,14 @@
         if (registering.record.startedAt == startedAt)
             registering.row = registering.record;
     };
+    if (this->faults.cutsAfterRestarts > 0 && this->chance(this->faults.cutsAfterRestarts)) {
+        this->at(server.darkUntil + Duration(this->pick(100, 3000)), [this, id = server.record.id] {
+            auto& cut = this->servers.at(id);
+            cut.partitionedFrom = this->manual.now();
+            cut.partitionedUntil = this->manual.now() + Duration(this->pick(2000, 12'000));
+            cut.partitionedFromStore = true;
+        });
+    }
     if (darkTime + registrationDelay == Duration(0))
         write();
     else
@@ -412,12 +422,26 @@
         return;
     const auto delay = late ? Duration(this->pick(2000, 12'000)) : Duration(this->pick(1, 20));
     const auto bootedAt = server.bootedAt;
-    this->at(
-        now + delay, [this, id, bootedAt, late, lostAnswer, toLeader, delay, onNoAnswer, execute = std::move(execute)] {
+    this->at(now + delay,
+        [this, id, bootedAt, late, lostAnswer, leader, toLeader, delay, onNoAnswer, execute = std::move(execute)] {
             auto& reached = this->servers.at(id);
             // A delayed order does not survive a crash of its server.
             if (late && reached.bootedAt != bootedAt)
                 return;
+            if (reached.isDark(this->manual.now()) && this->faults.strayCalls && !lostAnswer) {
+                // The connections of a process end with it.
+                this->at(reached.darkUntil + Duration(this->pick(1, 300)), [this, id, leader, toLeader, execute] {
+                    auto& later = this->servers.at(id);
+                    const auto isReached
+                        = !later.isDark(this->manual.now()) && later.partitionedUntil <= this->manual.now();
+                    if (!isReached || leader->dead)
+                        return;
+                    later.ignoresAcknowledgements = !this->faults.strayAcknowledgements;
+                    toLeader(Duration(this->pick(1, 20)), execute(later));
+                    later.ignoresAcknowledgements = false;
+                });
+                return;
+            }
             if (reached.isDark(this->manual.now())) {
                 if (!lostAnswer)
                     toLeader(callTimeout - delay, [onNoAnswer] { onNoAnswer(OrderStatus::Unknown); });
@@ -524,8 +548,9 @@
     server.fence = order.fence;
     if (order.leaseUntil)
         server.leaseUntil = std::max(server.leaseUntil, std::min(*order.leaseUntil, report.clock + maxLease.count()));
+    const auto acknowledged = server.ignoresAcknowledgements ? 0 : order.lastStoredEnd;
     for (const auto& ended : server.ended) {
-        if (ended.number <= server.lastAcknowledgedEnd || ended.number > order.lastStoredEnd)
+        if (ended.number <= server.lastAcknowledgedEnd || ended.number > acknowledged)
             continue;
         // An acknowledged end counts as final unless a lease expired after it was recorded.
         const bool counts = ended.number > server.lastEndBeforeExpiry;
@@ -534,8 +559,7 @@
         if (ended.end == RunEnd::Failed)
             this->acknowledgedFailures[ended.task].emplace(server.record.id, ended.run);
     }
-    server.lastAcknowledgedEnd
-        = std::max(server.lastAcknowledgedEnd, std::min(order.lastStoredEnd, server.lastEndNumber));
+    server.lastAcknowledgedEnd = std::max(server.lastAcknowledgedEnd, std::min(acknowledged, server.lastEndNumber));
     std::erase_if(
         server.ended, [&server](const EndedRun& ended) { return ended.number <= server.lastAcknowledgedEnd; });
     for (const auto& [id, run] : server.running)
--- a/test/job/scheduling-world.h
+++ b/test/job/scheduling-world.h
@@ -41,6 +41,13 @@
     // The kinds below are drawn only where they are set, so that the sequences of known seeds stay what they were.
     int failingServers = 0; // servers that fail all that they start for a while
     int jobFailurePeriods = 0; // times during which most jobs fail wherever they run
+    int cutsAfterRestarts = 0; // per thousand restarts: the server is cut off 0.1 to 3 s after it is back
+    // A call to a dark server is carried out by its next incarnation, as a connection that is opened meanwhile does it.
+    bool strayCalls = false;
+    // Such a renewal also acknowledges ends of that incarnation.
+    bool strayAcknowledgements = false;
+    // A leader that crashed leads again, and knows that it has stopped.
+    bool leadersReturn = false;
     // Probabilities per thousand jobs.
     int longTasks = 0; // each task takes up to 40 s
     int overlappingJobs = 0; // more occurrences at once than a leader works on
@@ -80,6 +87,7 @@
     bool partitionedFromStore = false;
     TimePoint darkUntil; // nothing runs on its machine before
     TimePoint failsUntil; // fails all that it starts before
+    bool ignoresAcknowledgements = false; // of the call that it carries out
 
     bool isDark(TimePoint now) const { return now < this->darkUntil; }
 
@@ -171,6 +179,8 @@
     void checkStart(const FakeServer& server, const StartOrder& order);
     void addViolation(const std::string& text);
 
+    // A leader that crashed after a term that was longer than the leases of those before it.
+    bool hasLeaderStopped() const;
     void superviseLeader();
     void electLeader();
     void load(Leader& leader);
@@ -210,10 +220,13 @@
     struct StoredUse {
         ServerRecord record;
         std::optional<TimePoint> leaseEnd;
+        std::optional<TimePoint> strayLeaseEnd;
         std::uint64_t fence = 0; // of the leader that wrote it
     };
     std::map<std::string, StoredUse> serversInUse;
     TimePoint lastHeartbeatAt;
+    TimePoint termStartedAt; // of the latest leader
+    std::uint64_t crashedFence = 0; // of the latest leader that crashed
     std::vector<ServerRecord> oddRows; // read by every leader, once
 
     std::vector<std::shared_ptr<Leader>> leaders;
--- a/test/job/server-use-test.cpp
+++ b/test/job/server-use-test.cpp
@@ -34,6 +34,8 @@
     EXPECT_EQ(use.fence, 3U);
     EXPECT_FALSE(decodeServerUse(encodeServerUse({ server(), std::nullopt, 3 })).leaseEnd);
     EXPECT_FALSE(decodeServerUse(toJson(server())).leaseEnd) << "written by an earlier version";
+    EXPECT_EQ(decodeServerUse(encodeServerUse({ server(), std::nullopt, 3, 815 })).strayLeaseEnd, 815);
+    EXPECT_FALSE(use.strayLeaseEnd);
 }
 
 // Guards against a record in another form that ends the process, or that is believed.
@@ -47,6 +49,9 @@
             json[field] = Json::parse(odd);
             EXPECT_FALSE(decodeServerUse(json.dump()).leaseEnd) << field << " " << odd;
         }
+        Json json = server();
+        json["strayLeasesEndBy"] = Json::parse(odd);
+        EXPECT_FALSE(decodeServerUse(json.dump()).strayLeaseEnd) << odd;
     }
     for (const auto* text : { "", "7", "[]", "null", "{}", R"({"leasesEndBy":5,"fence":2})" })
         EXPECT_THROW(decodeServerUse(text), Error) << text;
