Acknowledge ends once, in renewals that do not wait

What callers saw: a task ran again after its end had been acknowledged (TWICE, KNOWN-RED 15).

Cause: each incarnation of a server numbers its ends from 1, and every renewal, also one that waits for up to a second, repeated the acknowledgement of the last stored end. The one in flight when a server lost power could be carried out by its next incarnation, which then forgot ends that no leader had seen. The platform allows that.

Change: an acknowledgement is sent in one renewal that does not wait, a round trip of a few milliseconds, and not again once it is answered. It costs one call for each batch of stored ends.

Open: an acknowledgement that is in flight in that moment; the property that shows it is disabled and listed as KNOWN-RED 15.

--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -189,9 +189,12 @@
 {
     RenewOrder order;
     order.fence = this->rules.fence;
-    // Each incarnation numbers its ends from 1. An unresponsive server may have restarted and would apply an
-    // acknowledgement meant for its earlier incarnation to its own ends.
-    order.lastStoredEnd = server.isReachable() ? server.lastStoredEnd : 0;
+    // Each incarnation numbers its ends from 1. One that has just started would apply an acknowledgement meant for its
+    // predecessor to its own ends. An acknowledgement is therefore sent once, in a renewal that does not wait, and
+    // never to an unresponsive server.
+    const bool acknowledges = server.isReachable() && server.lastStoredEnd > server.lastAcknowledgedEnd;
+    order.lastStoredEnd = acknowledges ? server.lastStoredEnd : 0;
+    server.sentAcknowledgement = order.lastStoredEnd;
     // The lease of an unresponsive server is not renewed: its tasks could otherwise never be started elsewhere. Nor is
     // it renewed beyond an end that the next leader may find in the store.
     if (server.isReachable() && server.leaseEndRecord == detail::LeaseEndRecord::None) {
@@ -204,7 +207,7 @@
         return entry.second.task->phase == TaskPhase::Unconfirmed
             || (entry.second.task->phase == TaskPhase::Stopping && entry.second.task->stopConfirmed);
     });
-    const bool mayWait = server.isReachable() && server.unacknowledgedEnds.empty();
+    const bool mayWait = server.isReachable() && server.unacknowledgedEnds.empty() && !acknowledges;
     if (mayWait)
         order.maxWait = unclear ? Duration(100) : this->rules.maxRenewWait;
     server.renewing = true;
@@ -258,6 +261,7 @@
     server.fenceConfirmed = true;
     server.inherited = false;
     server.missedRenewals = 0;
+    server.lastAcknowledgedEnd = std::max(server.lastAcknowledgedEnd, server.sentAcknowledgement);
     this->mayLackUseRecords
         = this->mayLackUseRecords || !server.useRecorded || server.leaseEndRecord != detail::LeaseEndRecord::None;
     server.lastReportAt = now;
--- a/src/job/reports.cpp
+++ b/src/job/reports.cpp
@@ -495,6 +495,8 @@
     server.useRecorded = false;
     server.lastProcessedEnd = 0;
     server.lastStoredEnd = 0;
+    server.lastAcknowledgedEnd = 0;
+    server.sentAcknowledgement = 0;
     server.unacknowledgedEnds.clear();
     server.keptEnds.clear();
     this->fullReporters.erase(&server);
--- a/src/job/server-table.h
+++ b/src/job/server-table.h
@@ -113,6 +113,9 @@
     ServerClock leaseUntil = 0;
     std::uint64_t lastProcessedEnd = 0;
     std::uint64_t lastStoredEnd = 0;
+    // Ends up to this number are acknowledged: the server has answered a renewal that said so.
+    std::uint64_t lastAcknowledgedEnd = 0;
+    std::uint64_t sentAcknowledgement = 0; // of the renewal in flight
     std::deque<UnacknowledgedEnd> unacknowledgedEnds;
     // When ends that cannot be applied yet were first listed, by their number. The server lists them again.
     std::map<std::uint64_t, TimePoint> keptEnds;
--- a/test/job/scheduler-property-test.cpp
+++ b/test/job/scheduler-property-test.cpp
@@ -127,6 +127,15 @@
 // tasks take longer than any lease.
 RC_GTEST_PROP(JobScheduler, waitsForLeasesOfStrayOrders, (std::uint32_t seed)) { checkWorld(seed, strayOrderFaults()); }
 
+// Guards against ends of a server that no leader has seen, acknowledged by a renewal that was in flight when the
+// server's earlier incarnation ended. KNOWN-RED 15.
+RC_GTEST_PROP(JobScheduler, DISABLED_losesNoEndToAStrayAcknowledgement, (std::uint32_t seed))
+{
+    auto faults = strayOrderFaults();
+    faults.strayAcknowledgements = true;
+    checkWorld(seed, faults);
+}
+
 // Guards against work that has room and waits: servers that have failed tasks, or on which jobs have failed that fail
 // everywhere, must get tasks again beside tasks that take long or never end.
 RC_GTEST_PROP(JobScheduler, startsWhatHasRoomAfterFailures, (std::uint32_t seed, bool lastingTasks))
