--- a/test/play/fleet.py
+++ b/test/play/fleet.py
@@ -14,6 +14,8 @@
 sys.path.insert(0, str(ROOT / "review/standin"))
 import world as standin  # noqa: E402
 
+# Processor of the schedulers in turn, in cores: a larger one takes over from a smaller one that leads.
+CPU_SHARES = [0.25, 0.12, 0.5]
 STORE_STATUS = {"busy": 503, "many": 429}
 
 
@@ -180,7 +182,8 @@
             path = StorePath(self)
             await path.listen()
             self.schedulers.append(
-                Scheduler(self, f"edge-{index}", zones[index % len(zones)], self.folder, 0.25, path))
+                Scheduler(self, f"edge-{index}", zones[index % len(zones)], self.folder,
+                          CPU_SHARES[index % len(CPU_SHARES)], path))
             self.schedulers[-1].start()
         self.ticker = asyncio.create_task(self.run_ticks())
         tenants = [{"name": "tenant-a", "api_keys": ["key-a"], "weight": 50,
