--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -130,7 +130,7 @@
     void takeBatch(BoundedTransaction& transaction, Batch& batch);
     void handleRejectedCommit(const Batch& batch);
     void raiseTransactionLimits();
-    std::string encodeUse(const JobScheduler::ServerUseRecord& use) const;
+    std::string encodeUse(const JobScheduler::ServerUseRecord& change) const;
     void addServerUse(BoundedTransaction& transaction, Batch& batch);
     void removeExpiredJobs();
     void compactEndedJobs();
