--- a/test/job/scheduler-property-test.cpp
+++ b/test/job/scheduler-property-test.cpp
@@ -136,6 +136,15 @@
     checkWorld(seed, faults);
 }
 
+// Guards against a second run of a task that a leader started on a server whose machine was down, and that the server's
+// next incarnation carries out after the leader's death. KNOWN-RED 17.
+RC_GTEST_PROP(JobScheduler, DISABLED_waitsForCallsOfDeadLeaders, (std::uint32_t seed))
+{
+    auto faults = strayOrderFaults();
+    faults.callsOutliveLeaders = true;
+    checkWorld(seed, faults);
+}
+
 // Guards against work that has room and waits: servers that have failed tasks, or on which jobs have failed that fail
 // everywhere, must get tasks again beside tasks that take long or never end.
 RC_GTEST_PROP(JobScheduler, startsWhatHasRoomAfterFailures, (std::uint32_t seed, bool lastingTasks))
--- a/test/job/scheduling-world.cpp
+++ b/test/job/scheduling-world.cpp
@@ -434,7 +434,7 @@
                     auto& later = this->servers.at(id);
                     const auto isReached
                         = !later.isDark(this->manual.now()) && later.partitionedUntil <= this->manual.now();
-                    if (!isReached || leader->dead)
+                    if (!isReached || (leader->dead && !this->faults.callsOutliveLeaders))
                         return;
                     later.ignoresAcknowledgements = !this->faults.strayAcknowledgements;
                     toLeader(Duration(this->pick(1, 20)), execute(later));
--- a/test/job/scheduling-world.h
+++ b/test/job/scheduling-world.h
@@ -44,6 +44,8 @@
     int cutsAfterRestarts = 0; // per thousand restarts: the server is cut off 0.1 to 3 s after it is back
     // A call to a dark server is carried out by its next incarnation, as a connection that is opened meanwhile does it.
     bool strayCalls = false;
+    // Also a call of a leader that is dead, as when the platform carries it out late.
+    bool callsOutliveLeaders = false;
     // Such a renewal also acknowledges ends of that incarnation.
     bool strayAcknowledgements = false;
     // A leader that crashed leads again, and knows that it has stopped.
