Let an earlier machine list end no run that was answered after it was requested

A list that shows a machine as down says nothing about what its server answered after the list was requested: the server may have started again, have answered a start and been cut off while the list was under way. The test fails without the change (the task starts a second time).

--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -247,7 +247,7 @@
     std::span<detail::Server* const> serversOn(std::string_view machine) const;
     void endEarlierIncarnations(const detail::Server& latest);
     void markRemoved(detail::Server& server, std::string_view reason);
-    void handleCrash(detail::Server& server);
+    void handleCrash(detail::Server& server, TimePoint askedAt);
     void dropUnresponsiveServers();
     // Until then an earlier leader's runs may go on, on a server that has not answered this leader.
     TimePoint inheritedLeaseEnd(const detail::Server& server) const;
--- a/src/job/servers.cpp
+++ b/src/job/servers.cpp
@@ -223,7 +223,7 @@
                 || askedAt < server->unresponsiveSince || (!down && server->record.id == machine.server))
                 continue;
             if (down)
-                this->handleCrash(*server);
+                this->handleCrash(*server, askedAt);
             else
                 this->markRemoved(*server, "its machine runs another server");
         }
@@ -231,12 +231,13 @@
 }
 
 // The server may start again under the same id, and may have done so before the list was made. A run whose start was
-// answered ended with the machine if the server has left a later renewal unanswered.
-void JobScheduler::handleCrash(Server& server)
+// answered before the list was requested ended with the machine if the server has left a later renewal unanswered.
+void JobScheduler::handleCrash(Server& server, TimePoint askedAt)
 {
-    const auto hasEnded = [&server](const Task& task) {
+    const auto hasEnded = [&server, askedAt](const Task& task) {
         return task.evidence == RunEvidence::Report
-            || (task.evidence == RunEvidence::Answer && server.missedRenewalSentAt > task.confirmedAt);
+            || (task.evidence == RunEvidence::Answer && server.missedRenewalSentAt > task.confirmedAt
+                && askedAt > task.confirmedAt);
     };
     const bool isKnown = !server.fenceConfirmed && !server.inherited;
     if (!isKnown)
--- a/test/job/unnoticed-restart-test.cpp
+++ b/test/job/unnoticed-restart-test.cpp
@@ -123,4 +123,22 @@
     EXPECT_TRUE(this->renewals.at("a").leaseUntil);
 }
 
+// Guards against a run that a machine list ends although the list was requested before the run was started by a later
+// incarnation.
+TEST_F(UnnoticedRestartTest, earlierMachineListEndsNoRunThatALaterIncarnationHasAnswered)
+{
+    this->scheduler->renewAnswered("a", this->clock.now(), OrderStatus::Unknown, {});
+    this->clock.advance(Duration(10));
+    const auto askedAt = this->clock.now();
+    this->clock.advance(Duration(10));
+    this->answerStart({ OrderStatus::Accepted });
+    this->clock.advance(Duration(10));
+    this->scheduler->renewAnswered("a", this->clock.now(), OrderStatus::Unknown, {});
+    this->clock.advance(Duration(600));
+    this->scheduler->updateMachines(
+        std::vector<MachineRecord> { { "machine-a", "press", MachineState::Down, "", {} } }, askedAt);
+    this->scheduler->tick();
+    EXPECT_EQ(this->starts.size(), 1U);
+}
+
 } // namespace waxwinglug::test
