End the runs of an incarnation at once when a clock shows that it has ended

A row with a later start may be that of another writer, so runs that the earlier incarnation has listed wait for the server. An answer with an earlier clock comes from the server itself, so these runs have ended and start elsewhere at once; when the server was cut off again, they would have waited for up to 22 s. Without the change UnnoticedRestartTest.runsOfTheEarlierIncarnationStartElsewhereAtOnce fails.

--- a/src/job/orders.cpp
+++ b/src/job/orders.cpp
@@ -32,6 +32,9 @@
     // reached.
     constexpr Duration refusingServerBackoff { 400 };
 
+    // Returns true if the incarnation that reported last has listed the run of a task.
+    bool isReported(const Task& task) { return task.evidence == RunEvidence::Report; }
+
 } // namespace
 
 int JobScheduler::nextRunNumber(std::span<const Task> tasks) const
@@ -75,8 +78,10 @@
 
 void JobScheduler::checkClock(Server& server, TimePoint sentAt, const OrderAnswer& answer)
 {
-    if (answer.clock && server.fenceConfirmed && server.isClockOfLaterIncarnation(*answer.clock, sentAt))
-        this->expectIncarnation(server, "the clock in its answer to an order");
+    if (!answer.clock || !server.fenceConfirmed || !server.isClockOfLaterIncarnation(*answer.clock, sentAt))
+        return;
+    this->expectIncarnation(server, "the clock in its answer to an order");
+    this->endRunsOfIncarnation(server, isReported);
 }
 
 void JobScheduler::startAnswered(std::string_view serverId, const TaskId& id, int runNumber, const OrderAnswer& answer)
@@ -163,12 +168,13 @@
     const auto run = server.runs.find(id);
     if (run == server.runs.end() || run->second.number != runNumber)
         return;
-    auto& task = *run->second.task;
-    this->checkClock(server, task.stopSentAt, answer);
-    if (answer.status != OrderStatus::Accepted)
+    this->checkClock(server, run->second.task->stopSentAt, answer);
+    // The run may have ended with its incarnation.
+    const auto stopped = server.runs.find(id);
+    if (stopped == server.runs.end() || answer.status != OrderStatus::Accepted)
         return;
-    task.stopConfirmed = true;
-    task.confirmedAt = this->clock.now();
+    stopped->second.task->stopConfirmed = true;
+    stopped->second.task->confirmedAt = this->clock.now();
 }
 
 void JobScheduler::resendStops()
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -267,7 +267,8 @@
     void scheduleRenewal(detail::Server& server, TimePoint at);
     void sendDueRenewals();
     void resendStops();
-    // Compares the server's clock in the answer to an order with that of the incarnation that is known.
+    // Compares the server's clock in the answer to an order with that of the incarnation that is known. Ends the runs
+    // of that one if it has ended.
     void checkClock(detail::Server& server, TimePoint sentAt, const OrderAnswer& answer);
     bool acceptIncarnation(detail::Server& server, TimePoint sentAt, const RenewReport& report);
     void handleReusedAddress(detail::Server& server, TimePoint sentAt);
--- a/test/job/unnoticed-restart-test.cpp
+++ b/test/job/unnoticed-restart-test.cpp
@@ -11,6 +11,7 @@
     {
         SchedulerTest::SetUp();
         this->clock.advance(Duration(10'000)); // nothing waits for an earlier leader any more
+        this->incarnations["a"] = WallTime(Duration(1000));
         this->addServer("a");
         this->scheduler->addJob(this->job("j", this->step(1)), false);
         this->scheduler->tick();
@@ -81,6 +82,24 @@
     EXPECT_GE(*changes[0].strayLeaseEnd - this->clock.now(), maxLease);
 }
 
+// Guards against work that waits although it is known to have ended: the server has listed it before.
+TEST_F(UnnoticedRestartTest, runsOfTheEarlierIncarnationStartElsewhereAtOnce)
+{
+    this->answerStart({ OrderStatus::Accepted, this->clockOfA() });
+    this->clock.advance(Duration(10));
+    this->answerRenewal("a", { { this->order().task, this->order().run, "", 1, 0 } }, {});
+    this->scheduler->addJob(this->job("k", this->step(1)), false);
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 2U);
+    ASSERT_EQ(this->starts[1].first, "a");
+    const auto second = this->starts[1].second;
+    this->scheduler->startAnswered("a", second.task, second.run, { OrderStatus::Accepted, 300 });
+    this->scheduler->tick();
+    ASSERT_EQ(this->starts.size(), 3U);
+    EXPECT_EQ(this->starts[2].first, "b");
+    EXPECT_EQ(this->starts[2].second.task, this->order().task);
+}
+
 // Guards against work that waits for a server which has not started again: its clock may be 2% slow.
 TEST_F(UnnoticedRestartTest, slowClockIsNotTakenForALaterIncarnation)
 {
--- a/test/platform/server-calls-test.cpp
+++ b/test/platform/server-calls-test.cpp
@@ -136,6 +136,7 @@
         { { 503, {}, "" }, OrderStatus::Unhealthy, std::nullopt },
     };
     std::vector<io::HttpResponse> answers;
+    answers.reserve(cases.size());
     for (const auto& each : cases)
         answers.push_back(each.response);
     boost::asio::io_context context;
