--- a/src/io/connection/gateway.cpp
+++ b/src/io/connection/gateway.cpp
@@ -136,6 +136,7 @@
     const auto& service = rights->config->services.find(exchange.caller.service)->second;
     exchange.workClass = service.workClass;
     exchange.deadline = exchange.receivedAt + exchange.caller.deadline.value_or(service.deadline);
+    exchange.rights = rights;
 }
 
 HttpResponse Gateway::refuse(const RefusalError& error)
--- a/src/io/connection/gateway.h
+++ b/src/io/connection/gateway.h
@@ -29,6 +29,8 @@
     // Sets team, class and deadline of a request from the current rights. Throws RefusalError when they do not grant
     // it. Thread-safe.
     void authorize(Exchange& exchange) const;
+    // Returns true if the current rights are those that have granted the request. Thread-safe.
+    bool isAuthorized(const Exchange& exchange) const { return exchange.rights == this->currentRights(); }
 
     // Hooks for the CallerServer that receives the requests.
     CallerHooks callerHooks();
--- a/src/io/process/entry-daemon.cpp
+++ b/src/io/process/entry-daemon.cpp
@@ -223,6 +223,9 @@
         this->waitingForRefresh.push_back(exchange);
         return;
     }
+    // After a pause, the poll that ends the wait may have changed the rights since a traffic thread applied them.
+    if (!this->gateway.isAuthorized(*exchange))
+        return this->authorizeAndAccept(exchange);
     this->entryControl.accept(exchange);
 }
 
--- a/src/io/request/exchange.h
+++ b/src/io/request/exchange.h
@@ -41,6 +41,8 @@
 struct Exchange {
     HttpRequest request;
     CallerRequest caller;
+    // What has granted the request.
+    std::shared_ptr<const Rights> rights;
     // Team that is charged; `anonymousTeam` for a request without a key on a queue that allows this.
     std::string team;
     WorkClass workClass = WorkClass::Interactive;
