--- a/review/standin-3/world.py
+++ b/review/standin-3/world.py
@@ -254,6 +254,16 @@
         self.register()
         self.world.note("entry", self.id, "", 0, f"kind {kind}")
 
+    async def lose(self):
+        """Is lost for good, silently: nothing is answered any more, and the entry goes after three heartbeats."""
+        self.is_up = False
+        for task, run in self.runs.items():
+            self.world.note("lost", self.id, task, run.number)
+        self.runs = {}
+        self.world.note("dark", self.id, "", 0, "for good")
+        await asyncio.sleep(3 * HEARTBEAT_MS / 1000)
+        self.world.store.drop("servers", self.id)
+
     def end(self, task, how):
         run = self.runs.pop(task)
         self.end_count += 1
@@ -276,6 +286,8 @@
         self.until_ms = max(self.until_ms, min(until_ms, self.clock_ms() + BOUNDS["max_hold_ms"]))
 
     async def handle(self, method, target, headers, body):
+        while not self.is_up:
+            await asyncio.sleep(1)
         if headers.get("expect-instance", self.id) != self.id:
             return 421, {"clock_ms": self.clock_ms()}
         call = json.loads(body)
