Record runs whose answer may come from the next incarnation of a crashed server

When a machine is listed as down, a run whose start was answered after the list was requested stays in doubt, because the answer may come from the server's next incarnation. The record of the server was removed, so the next leader did not know of the run and would have started its task elsewhere. It is recorded like a start without an answer.

Also: the timer that stores such starts does not run while a commit is in flight, and is set after ticks too, which start tasks as well.

--- a/src/io/process/leader-session.cpp
+++ b/src/io/process/leader-session.cpp
@@ -233,7 +233,7 @@
 void LeaderSession::scheduleUnansweredStarts()
 {
     const auto due = this->jobScheduler.nextUnansweredStartAt();
-    if (this->hasEnded || !due || std::exchange(this->isUnansweredStartScheduled, true))
+    if (this->hasEnded || this->isCommitting || !due || std::exchange(this->isUnansweredStartScheduled, true))
         return;
     this->unansweredStartTimer.expires_after(std::max(dispatchDelay, Duration(*due - this->clock.now())));
     this->unansweredStartTimer.async_wait(this->guarded([this](const boost::system::error_code& error) {
@@ -284,6 +284,7 @@
         this->compactEndedJobs();
     }
     this->storeChanges();
+    this->scheduleUnansweredStarts();
 }
 
 // Logs the phases of this term once nothing waits for the earlier leader any more.
--- a/src/io/process/leader-session.h
+++ b/src/io/process/leader-session.h
@@ -126,7 +126,8 @@
     void recordPhases();
     void dispatch();
     void storeChanges();
-    // Sets the time at which a start that got no answer is stored, unless something else stores changes before.
+    // Sets the time at which a start that got no answer is stored, unless something else stores changes before. While a
+    // commit is in flight, what follows it does.
     void scheduleUnansweredStarts();
     void sendWaveReports();
     void storePoolSizes();
--- a/src/job/scheduler.h
+++ b/src/job/scheduler.h
@@ -120,7 +120,8 @@
     // Stray orders may have created leases on a server in use that last until `end`, as an earlier leader has stored.
     // Call after all servers are known.
     void setInheritedStrayLeaseEnd(std::string_view server, TimePoint end);
-    // A start that its server has not answered. It may be carried out late, by any incarnation of the server.
+    // A start that its server has not answered, or that an unknown incarnation of it has. It may be carried out late,
+    // by any incarnation.
     struct UnansweredStart {
         TaskId task;
         int run = 0;
--- a/src/job/servers.cpp
+++ b/src/job/servers.cpp
@@ -208,10 +208,9 @@
 std::vector<JobScheduler::UnansweredStart> JobScheduler::unansweredStarts(const Server& server) const
 {
     std::vector<UnansweredStart> starts;
-    if (server.unansweredStarts == 0)
-        return starts;
     for (const auto& [id, run] : server.runs) {
-        if (run.task->evidence == RunEvidence::None)
+        // The answer to a start does not name the incarnation, so a run in doubt may be in the next one too.
+        if (run.task->evidence == RunEvidence::None || run.task->phase == detail::TaskPhase::Unconfirmed)
             starts.push_back({ id, run.number, run.task->startedAt + this->rules.maxStrayLease() });
     }
     return starts;
@@ -311,8 +310,8 @@
         return;
     this->resetIncarnation(server);
     server.isDown = true;
-    // The next leader has to know of starts that the server's next incarnation may carry out.
-    if (server.unansweredStarts > 0)
+    // The next leader has to know of runs that may be in the server's next incarnation.
+    if (!server.runs.empty())
         server.isUseRecordOutdated = this->mayLackUseRecords = true;
     else
         this->removedServers.push_back(server.record.id);
--- a/test/job/unanswered-start-test.cpp
+++ b/test/job/unanswered-start-test.cpp
@@ -176,6 +176,24 @@
     EXPECT_TRUE(this->hasStarted("k"));
 }
 
+// Guards against the same for a start whose answer may come from the next incarnation: the machine list was requested
+// before the answer arrived.
+TEST_F(UnansweredStartTest, runOfAnUnknownIncarnationOutlivesTheRecordOfACrashedServer)
+{
+    this->missRenewal();
+    const auto askedAt = this->clock.now();
+    this->clock.advance(Duration(10));
+    this->scheduler->startAnswered(this->lost, this->order.task, this->order.run, { OrderStatus::Accepted });
+    this->missRenewal();
+    const MachineRecord down { "machine-" + this->lost, "press", MachineState::Down, "", {} };
+    this->scheduler->updateMachines({ &down, 1 }, askedAt);
+    this->store();
+    EXPECT_EQ(this->recordedStarts(), 1U);
+    this->changeLeader(2);
+    this->listAsDown();
+    EXPECT_FALSE(this->hasStarted("j"));
+}
+
 // Guards against a write of the store for each start.
 TEST_F(UnansweredStartTest, startThatIsAnsweredSoonIsNotRecorded)
 {
